--- a/src/zincvale/controlplane/directory_rows.py
+++ b/src/zincvale/controlplane/directory_rows.py
@@ -18,7 +18,7 @@
 
 def encode_server_row(row: ServerRow) -> bytes:
     """Return the content of a server's row; equal rows are equal bytes."""
-    fields = {
+    fields: dict[str, Any] = {
         "address": row.address,
         "pool": row.pool,
         "zone": row.zone,
@@ -34,6 +34,10 @@
         "max_running": row.max_running,
         "closing": sorted(row.closing),
     }
+    if row.draining:
+        fields["draining"] = True
+    if row.cold_remaining_s:
+        fields["cold_remaining_s"] = row.cold_remaining_s
     return orjson.dumps(fields)
 
 
@@ -65,6 +69,8 @@
         running=fields["running"],
         max_running=fields["max_running"],
         closing=frozenset(fields["closing"]),
+        draining=fields.get("draining", False),
+        cold_remaining_s=fields.get("cold_remaining_s", 0.0),
     )
 
 
--- /dev/null
+++ b/src/zincvale/controlplane/document_intent.py
@@ -0,0 +1,112 @@
+"""The intent that placement follows, derived from a forwarding document.
+
+Every pool with an engine is a pool of language-model servers with one weight store; its models and
+their adapters are declared resources. Unchanged parts of the document give the same objects.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from zincvale.model.forwarding import Engine, ForwardingDocument, ForwardPool
+from zincvale.model.identifiers import (
+    AdapterName,
+    ModelName,
+    PoolName,
+    StoreName,
+    ZoneName,
+)
+from zincvale.model.resources import (
+    AdapterSpec,
+    ModelSpec,
+    PoolKind,
+    PoolSpec,
+    StoreSpec,
+    ZoneSpec,
+)
+from zincvale.model.view import Intent
+
+REQUESTS_PER_COPY = 12
+"""Requests at once that one copy of a model serves within usual objectives; an engine has more
+slots, but reads prompts one after the other."""
+LOADS_AT_ONCE = 64
+
+
+@attrs.frozen
+class StoreTerms:
+    """What a deployment allows of loads from a store: `over` times its rate in any `window_s`."""
+
+    window_s: float = 5.0
+    over: float = 1.0
+    loads_at_once: int = LOADS_AT_ONCE
+
+
+@attrs.define
+class _PoolResources:
+    spec: ForwardPool
+    pool: PoolSpec
+    store: StoreSpec
+    models: dict[ModelName, ModelSpec]
+    adapters: dict[AdapterName, AdapterSpec]
+
+
+class DocumentIntent:
+    """Keeps the derived intent of a changing document."""
+
+    def __init__(self, terms: StoreTerms) -> None:
+        self._terms = terms
+        self._known: dict[str, _PoolResources] = {}
+
+    def update(self, document: ForwardingDocument) -> Intent:
+        """Return the intent of `document`."""
+        known: dict[str, _PoolResources] = {}
+        for name, spec in document.pools.items():
+            before = self._known.get(name)
+            if before is not None and before.spec is spec:
+                known[name] = before
+            elif spec.engine is not None:
+                known[name] = self._resources(name, spec, spec.engine)
+        self._known = known
+        models: dict[ModelName, ModelSpec] = {}
+        adapters: dict[AdapterName, AdapterSpec] = {}
+        for resources in known.values():
+            models.update(resources.models)
+            adapters.update(resources.adapters)
+        return Intent(
+            version=document.version,
+            zones={ZoneName(zone): ZoneSpec(evacuated=True) for zone in document.evacuated},
+            pools={PoolName(name): each.pool for name, each in known.items()},
+            stores={StoreName(name): each.store for name, each in known.items()},
+            models=models,
+            adapters=adapters,
+        )
+
+    def _resources(self, name: str, spec: ForwardPool, engine: Engine) -> _PoolResources:
+        models: dict[ModelName, ModelSpec] = {}
+        adapters: dict[AdapterName, AdapterSpec] = {}
+        for model, each in engine.models.items():
+            models[ModelName(model)] = ModelSpec(
+                each.weight_bytes, store=name, pool=name, kv_bytes_per_token=0
+            )
+            for adapter in each.adapters:
+                adapters[AdapterName(f"{model}/{adapter}")] = AdapterSpec(
+                    model, each.adapter_bytes, store=name
+                )
+        pool = PoolSpec(
+            kind=PoolKind.LANGUAGE_MODEL,
+            max_concurrent_per_server=max(1, min(engine.slots, REQUESTS_PER_COPY)),
+            adapter_slots=engine.adapter_slots,
+        )
+        return _PoolResources(spec, pool, self._store(engine), models, adapters)
+
+    def _store(self, engine: Engine) -> StoreSpec:
+        terms = self._terms
+        largest = max((each.weight_bytes for each in engine.models.values()), default=1)
+        per_window = int(engine.loads_per_s * terms.window_s * terms.over)
+        return StoreSpec(
+            address="",
+            bytes_per_second=max(1, int(engine.loads_per_s * terms.over * largest * 4)),
+            max_concurrent_loads=terms.loads_at_once,
+            loads_per_window=max(1, per_window),
+            window_s=terms.window_s,
+        )
--- /dev/null
+++ b/src/zincvale/controlplane/document_reducer.py
@@ -0,0 +1,167 @@
+"""Reducer of the forwarding document: checks a change against the rows and returns the new rows.
+
+Pure and without memory: the same rows and change give the same answer on every core. A change is
+built on a document number; of two that were built on the same number one wins.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import attrs
+import orjson
+from returns.result import Failure, Result, Success
+
+from zincvale.controlplane.document_changes import (
+    EVACUATE,
+    REPLACE,
+    change_identity,
+    decode_change,
+)
+from zincvale.controlplane.document_rows import (
+    EVACUATED,
+    EVACUATED_PREFIX,
+    LAST_CHANGE_ROW,
+    LIMITS_ROW,
+    NUMBER_ROW,
+    OTHER_ROW,
+    POOL_PREFIX,
+    ROUTE_PREFIX,
+    encode_item,
+    number_of,
+    place_of,
+)
+from zincvale.coordination.changes import ChangeRefused, RowChange, Rows
+from zincvale.model.errors import InvalidInput, VersionConflict, ZincvaleError
+
+NO_PLACE = 0
+
+
+@attrs.frozen
+class DocumentReducer:
+    """The reducer, as the register of the document's key calls it."""
+
+    def __call__(self, rows: Rows, change: bytes) -> Result[list[RowChange], ChangeRefused]:
+        """Return the row changes of a change, or why it is refused."""
+        try:
+            changed = changed_rows(rows, change)
+        except VersionConflict as error:
+            return Failure(ChangeRefused(error.problem, error.remedy, is_conflict=True))
+        except ZincvaleError as error:
+            return Failure(ChangeRefused(error.problem, error.remedy))
+        return Success([RowChange(row, content) for row, content in changed.items()])
+
+
+def changed_rows(rows: Mapping[str, bytes], change: bytes) -> dict[str, bytes | None]:
+    """Return new content by row id, None for removed rows; raises a `ZincvaleError`."""
+    plain = decode_change(change)
+    if plain["mode"] == EVACUATE:
+        row = f"{EVACUATED_PREFIX}{plain['zone']}"
+        return {row: EVACUATED if plain["evacuated"] else None}
+    identity = change_identity(change).encode()
+    if rows.get(LAST_CHANGE_ROW) == identity:
+        # Sent again after its order was forgotten: it is what is in force.
+        return {}
+    _check_numbers(rows, plain)
+    changed = _changed_items(rows, plain)
+    _check_whole(rows, changed)
+    changed[NUMBER_ROW] = str(plain["number"]).encode()
+    changed[LAST_CHANGE_ROW] = identity
+    return changed
+
+
+def _check_numbers(rows: Mapping[str, bytes], plain: Mapping[str, Any]) -> None:
+    current = number_of(rows)
+    if plain["base"] != current:
+        raise VersionConflict(
+            f"built on document {plain['base']}, now {current}",
+            "read the current document and build the change on it",
+            current,
+        )
+    if plain["number"] <= current:
+        raise InvalidInput(
+            f"number {plain['number']} is not above {current}", "give the document a higher number"
+        )
+
+
+def _changed_items(rows: Mapping[str, bytes], plain: Mapping[str, Any]) -> dict[str, bytes | None]:
+    changed: dict[str, bytes | None] = {}
+    is_whole = plain["mode"] == REPLACE
+    for prefix, items, removed in (
+        (ROUTE_PREFIX, plain["routes"], plain["removed_routes"]),
+        (POOL_PREFIX, plain["pools"], plain["removed_pools"]),
+    ):
+        changed.update(_changed_table(rows, prefix, items, removed, is_whole))
+    if plain["limits"] is not None:
+        limits = plain["limits"]
+        changed[LIMITS_ROW] = encode_item(NO_PLACE, limits["spec"], limits["source"])
+    elif is_whole and LIMITS_ROW in rows:
+        changed[LIMITS_ROW] = None
+    if is_whole:
+        changed[OTHER_ROW] = orjson.dumps(plain["other"])
+    return {row: content for row, content in changed.items() if rows.get(row) != content}
+
+
+def _changed_table(
+    rows: Mapping[str, bytes],
+    prefix: str,
+    items: Iterable[Mapping[str, Any]],
+    removed: Iterable[str],
+    is_whole: bool,
+) -> dict[str, bytes | None]:
+    kept = {row: content for row, content in rows.items() if row.startswith(prefix)}
+    changed: dict[str, bytes | None] = {f"{prefix}{name}": None for name in removed}
+    if is_whole:
+        changed.update(dict.fromkeys(kept))
+        next_place = NO_PLACE
+    else:
+        next_place = max((place_of(content) + 1 for content in kept.values()), default=NO_PLACE)
+    named: set[str] = set()
+    for item in items:
+        row = f"{prefix}{item['spec']['name']}"
+        if row in named:
+            raise InvalidInput(f"{row} is declared twice", "declare each name once")
+        named.add(row)
+        if is_whole or row not in kept:
+            place, next_place = next_place, next_place + 1
+        else:
+            place = place_of(kept[row])
+        changed[row] = encode_item(place, item["spec"], item["source"])
+    return changed
+
+
+def _check_whole(rows: Mapping[str, bytes], changed: Mapping[str, bytes | None]) -> None:
+    """Check what no item can tell by itself: references, and places taken twice."""
+    after = {**rows, **changed}
+    route_specs = {
+        row: orjson.loads(content)["spec"]
+        for row, content in after.items()
+        if content is not None and row.startswith(ROUTE_PREFIX)
+    }
+    places: dict[tuple[str, str], str] = {}
+    for row, spec in route_specs.items():
+        _check_route(row, spec, after)
+        place = (spec["host"], spec["path_prefix"])
+        other = places.setdefault(place, row)
+        if other != row:
+            raise InvalidInput(
+                f"{other} and {row} have the same host and path prefix", "change one of them"
+            )
+
+
+def _check_route(row: str, spec: Mapping[str, Any], after: Mapping[str, bytes | None]) -> None:
+    for share in spec["split"]:
+        if after.get(f"{POOL_PREFIX}{share['pool']}") is None:
+            raise InvalidInput(
+                f"{row} names pool {share['pool']!r}, which is not declared",
+                "declare the pool or correct the name",
+            )
+        if share["weight"] < 0:
+            raise InvalidInput(f"{row}: a weight is below 0", "use weights of 0 and more")
+    if sum(share["weight"] for share in spec["split"]) <= 0:
+        raise InvalidInput(f"{row}: its weights add up to 0", "give one pool a weight above 0")
+    if spec["timeout_s"] <= 0:
+        raise InvalidInput(f"{row}: its time-out is 0", "give it a time-out above 0")
+    if spec["attempts"] < 1:
+        raise InvalidInput(f"{row}: attempts is below 1", "allow at least one attempt")
--- /dev/null
+++ b/src/zincvale/controlplane/document_rows.py
@@ -0,0 +1,135 @@
+"""Rows of the forwarding document in the control state, and the typed document of these rows.
+
+Row ids: `number`, `last-change`, `limits`, `other`, `route/NAME`, `pool/NAME`, `evacuated/ZONE`.
+A route's or pool's row holds its place in the document, its spec and what the operator wrote.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+import orjson
+
+from zincvale.model.errors import InvalidInput
+from zincvale.model.forwarding import (
+    CallerLimits,
+    ForwardingDocument,
+    ForwardPool,
+    ForwardRoute,
+)
+
+NUMBER_ROW = "number"
+LAST_CHANGE_ROW = "last-change"
+LIMITS_ROW = "limits"
+OTHER_ROW = "other"
+ROUTE_PREFIX = "route/"
+POOL_PREFIX = "pool/"
+EVACUATED_PREFIX = "evacuated/"
+EVACUATED = b"1"
+
+
+def number_of(rows: Mapping[str, bytes]) -> int:
+    """Return the number of the document in `rows`, 0 when there is none."""
+    return int(rows.get(NUMBER_ROW, b"0"))
+
+
+def encode_item(place: int, spec: Mapping[str, Any], source: Any) -> bytes:
+    """Return the row of a route, a pool or the limits."""
+    return bytes(memoryview(orjson.dumps({"place": place, "spec": spec, "source": source})))
+
+
+def place_of(row: bytes) -> int:
+    """Return the place of an item in its document."""
+    return int(orjson.loads(row)["place"])
+
+
+@attrs.frozen
+class SourceDocument:
+    """The document as operators wrote it, for reading back."""
+
+    number: int
+    routes: list[Any]
+    pools: list[Any]
+    limits: Any
+    other: Any
+
+
+def source_document(rows: Mapping[str, bytes]) -> SourceDocument:
+    """Return the document in `rows` as it was written."""
+    limits = rows.get(LIMITS_ROW)
+    return SourceDocument(
+        number=number_of(rows),
+        routes=_sources(rows, ROUTE_PREFIX),
+        pools=_sources(rows, POOL_PREFIX),
+        limits=orjson.loads(limits)["source"] if limits is not None else None,
+        other=orjson.loads(rows.get(OTHER_ROW, b"null")),
+    )
+
+
+def _sources(rows: Mapping[str, bytes], prefix: str) -> list[Any]:
+    items = [orjson.loads(content) for row, content in rows.items() if row.startswith(prefix)]
+    items.sort(key=lambda item: item["place"])
+    return [item["source"] for item in items]
+
+
+class DocumentDecoder:
+    """Keeps the typed document of a changing set of rows; decodes only rows that changed."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, bytes] = {}
+        self._routes: dict[str, ForwardRoute] = {}
+        self._pools: dict[str, ForwardPool] = {}
+        self._document = ForwardingDocument()
+
+    @property
+    def document(self) -> ForwardingDocument:
+        """The document at the last update."""
+        return self._document
+
+    def update(self, version: int, rows: Mapping[str, bytes]) -> ForwardingDocument:
+        """Return the document of `rows`; raises `InvalidInput` and keeps the last one."""
+        routes = self._decode_items(rows, ROUTE_PREFIX, self._routes, ForwardRoute)
+        pools = self._decode_items(rows, POOL_PREFIX, self._pools, ForwardPool)
+        limits = self._document.limits
+        if rows.get(LIMITS_ROW) != self._rows.get(LIMITS_ROW):
+            limits = _decode_limits(rows.get(LIMITS_ROW))
+        evacuated = frozenset(
+            row.removeprefix(EVACUATED_PREFIX) for row in rows if row.startswith(EVACUATED_PREFIX)
+        )
+        self._rows, self._routes, self._pools = dict(rows), routes, pools
+        self._document = ForwardingDocument(
+            version, number_of(rows), routes, pools, limits, evacuated
+        )
+        return self._document
+
+    def _decode_items(
+        self, rows: Mapping[str, bytes], prefix: str, known: dict[str, Any], kind: Any
+    ) -> dict[str, Any]:
+        items = {}
+        for row, content in rows.items():
+            if not row.startswith(prefix):
+                continue
+            name = row[len(prefix) :]
+            item = known.get(name)
+            if item is None or self._rows.get(row) != content:
+                item = _decode_spec(row, content, kind)
+            items[name] = item
+        return items
+
+
+def _decode_limits(content: bytes | None) -> CallerLimits:
+    if content is None:
+        return CallerLimits()
+    limits: CallerLimits = _decode_spec(LIMITS_ROW, content, CallerLimits)
+    return limits
+
+
+def _decode_spec(row: str, content: bytes, kind: Any) -> Any:
+    try:
+        return kind.from_dict(orjson.loads(content)["spec"])
+    except Exception as error:
+        raise InvalidInput(
+            f"document row {row} cannot be read: {error}", "run the same release on every machine"
+        ) from error
--- /dev/null
+++ b/src/zincvale/controlplane/listed_servers.py
@@ -0,0 +1,280 @@
+"""The directory of servers from a list that an outside system keeps, without a leader.
+
+Reading the list harms nobody, so no lease guards it: one core reads and publishes, and each other
+core begins to read when it has not heard of a reading for a time that grows with its rank. Of two
+readers the one with the newer publication stays. Epochs of the publication are made unique by the
+reader's name; they are no fencing epochs.
+
+Times are seconds on the process's clock.
+"""
+
+from __future__ import annotations
+
+import attrs
+import xxhash
+
+from zincvale.controlplane import log_events
+from zincvale.controlplane.directory_rows import decode_server_row, encode_server_row
+from zincvale.coordination.changes import TopicView
+from zincvale.coordination.messages import PublishTopic
+from zincvale.coordination.topics import LEADERLESS_PREFIX
+from zincvale.model.errors import InvalidInput
+from zincvale.model.forwarding import ForwardingDocument
+from zincvale.model.identifiers import (
+    AdapterName,
+    Address,
+    MemberId,
+    ModelName,
+    PoolName,
+    ServerId,
+    ZoneName,
+)
+from zincvale.model.machine import Log
+from zincvale.model.messages import peer_message
+from zincvale.model.resources import PoolKind
+from zincvale.model.view import ServerHealth, ServerRow
+
+LISTED_TOPIC = f"{LEADERLESS_PREFIX}servers"
+READ_INTERVAL_S = 0.8
+SILENCE_S = 1.3
+"""Without news of a reading for so long, the core of the first rank reads."""
+RANK_STEP_S = 0.4
+THROTTLED_PAUSE_S = 1.0
+EMPTY_READINGS_BELIEVED = 3
+"""An empty list is believed only when it stays empty."""
+EPOCH_NAME_BITS = 20
+
+
+@attrs.frozen
+class ListedServer:
+    """One server as the list shows it."""
+
+    server: ServerId
+    address: Address
+    pool: PoolName
+    zone: ZoneName
+    draining: bool = False
+    cold_remaining_s: float = 0.0
+    slots: int = 0
+    models: frozenset[ModelName] = frozenset()
+    adapters: frozenset[AdapterName] = frozenset()
+    """Each as `MODEL/ADAPTER`."""
+
+
+@peer_message("listed.read")
+@attrs.frozen
+class ListRead:
+    """Between cores: the sender read the list just now and has published what it saw."""
+
+    epoch: int
+
+
+# effects
+
+
+@attrs.frozen
+class FetchList:
+    """Read the whole list; answer with `list_read` or `list_failed`."""
+
+
+@attrs.frozen
+class AnnounceRead:
+    """Tell the other cores that the list was read."""
+
+    message: ListRead
+
+
+@attrs.frozen
+class PublishServers:
+    """Publish at the local core."""
+
+    message: PublishTopic
+
+
+@attrs.frozen
+class ServersSeen:
+    """Rows as last seen; `asked_at` is a time before which they were certainly not taken."""
+
+    rows: tuple[ServerRow, ...]
+    gone: tuple[ServerId, ...]
+    asked_at: float
+
+
+Effect = FetchList | AnnounceRead | PublishServers | ServersSeen | Log
+
+
+class ListedServers:
+    """The list as one core knows it.
+
+    Parameters
+    ----------
+    name : unique name of this process.
+    lag_s : how far the list trails behind.
+    """
+
+    def __init__(self, name: str, lag_s: float, now: float) -> None:
+        self._name_bits = xxhash.xxh3_64_intdigest(name.encode()) >> (64 - EPOCH_NAME_BITS)
+        self._lag_s = lag_s
+        self._document = ForwardingDocument()
+        self._listed: dict[ServerId, ListedServer] = {}
+        self._rows: dict[ServerId, ServerRow] = {}
+        self._published: dict[str, bytes] = {}
+        self._known_epoch = 0
+        self._own_epoch = 0
+        self._heard_at = now
+        self._read_due_at = now
+        self._reading = False
+        self._empty_readings = 0
+
+    @property
+    def rows(self) -> dict[ServerId, ServerRow]:
+        """The servers as last seen."""
+        return self._rows
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether the newest publication is this process's."""
+        return self._own_epoch != 0 and self._own_epoch == self._known_epoch
+
+    # --- inputs ---------------------------------------------------------------------------
+
+    def document_changed(self, document: ForwardingDocument, now: float) -> list[Effect]:
+        """Take a newer document: it tells what the servers of a pool are."""
+        self._document = document
+        if not self.is_reader:
+            return []
+        return self._take(list(self._listed.values()), now - self._lag_s)
+
+    def published(self, view: TopicView, now: float) -> list[Effect]:
+        """Take what another core published."""
+        if view.epoch <= self._known_epoch and view.epoch != 0 and self.is_reader:
+            return []
+        if view.epoch < self._known_epoch or view.epoch == self._own_epoch:
+            return []
+        if view.epoch > self._known_epoch:
+            self._known_epoch = view.epoch
+        self._heard_at = now
+        rows = {}
+        for server, content in view.rows.items():
+            try:
+                rows[ServerId(server)] = decode_server_row(server, content)
+            except InvalidInput:
+                continue
+        gone = tuple(server for server in self._rows if server not in rows)
+        self._rows = rows
+        self._published = dict(view.rows)
+        asked_at = now - self._lag_s - READ_INTERVAL_S - SILENCE_S
+        return [ServersSeen(tuple(rows.values()), gone, asked_at)]
+
+    def read_heard(self, message: ListRead, now: float) -> None:
+        """Another core read the list."""
+        if message.epoch >= self._known_epoch:
+            self._known_epoch = message.epoch
+            self._heard_at = now
+
+    def list_read(self, servers: list[ListedServer], asked_at: float, now: float) -> list[Effect]:
+        """Take a whole reading that was begun at `asked_at`."""
+        self._reading = False
+        self._read_due_at = now + READ_INTERVAL_S
+        if not servers and self._listed:
+            self._empty_readings += 1
+            if self._empty_readings < EMPTY_READINGS_BELIEVED:
+                return []
+        self._empty_readings = 0
+        if not self.is_reader:
+            self._begin_epoch()
+        effects = self._take(servers, asked_at - self._lag_s)
+        return [*effects, AnnounceRead(ListRead(self._own_epoch))]
+
+    def list_failed(self, why: str, throttled: bool, now: float) -> list[Effect]:
+        """A reading came to nothing."""
+        self._reading = False
+        self._read_due_at = now + (THROTTLED_PAUSE_S if throttled else READ_INTERVAL_S / 2)
+        return [Log(log_events.PLATFORM_LIST_FAILED, {"why": why})]
+
+    def publication_refused(self, known_epoch: int) -> None:
+        """The local core knows a newer publication: another core reads."""
+        self._known_epoch = max(self._known_epoch, known_epoch)
+        self._own_epoch = 0
+
+    def tick(self, rank: int, now: float) -> list[Effect]:
+        """Read when it is this core's turn.
+
+        Parameters
+        ----------
+        rank : 0 for the core that should read, then the order in which others stand in.
+        """
+        if self._reading or now < self._read_due_at:
+            return []
+        silent_s = now - self._heard_at
+        if not self.is_reader and silent_s < SILENCE_S + RANK_STEP_S * rank:
+            return []
+        self._reading = True
+        return [FetchList()]
+
+    # --- publication ----------------------------------------------------------------------
+
+    def _begin_epoch(self) -> None:
+        count = (self._known_epoch >> EPOCH_NAME_BITS) + 1
+        self._own_epoch = (count << EPOCH_NAME_BITS) | self._name_bits
+        self._known_epoch = self._own_epoch
+        self._published = {}
+
+    def _take(self, servers: list[ListedServer], asked_at: float) -> list[Effect]:
+        self._listed = {server.server: server for server in servers}
+        rows = {server.server: self._row(server) for server in servers}
+        gone = tuple(server for server in self._rows if server not in rows)
+        self._rows = rows
+        effects: list[Effect] = [ServersSeen(tuple(rows.values()), gone, asked_at)]
+        message = self._publication()
+        if message is not None:
+            effects.append(PublishServers(message))
+        return effects
+
+    def _publication(self) -> PublishTopic | None:
+        encoded = {str(server): encode_server_row(row) for server, row in self._rows.items()}
+        puts = {row: value for row, value in encoded.items() if self._published.get(row) != value}
+        deletes = [row for row in self._published if row not in encoded]
+        is_first = not self._published
+        self._published = encoded
+        if not puts and not deletes and not is_first:
+            return None
+        return PublishTopic(
+            LISTED_TOPIC, self._own_epoch, encoded if is_first else puts, deletes, replace=is_first
+        )
+
+    def _row(self, listed: ListedServer) -> ServerRow:
+        pool = self._document.pools.get(listed.pool)
+        engine = pool.engine if pool is not None else None
+        return ServerRow(
+            server=listed.server,
+            address=listed.address,
+            pool=listed.pool,
+            zone=listed.zone,
+            kind=PoolKind.LOOKUP if engine is None else PoolKind.LANGUAGE_MODEL,
+            health=ServerHealth.READY,
+            incarnation=str(listed.server),
+            memory_bytes=0 if engine is None else engine.memory_bytes,
+            models=listed.models,
+            adapters=listed.adapters,
+            max_running=listed.slots,
+            draining=listed.draining,
+            cold_remaining_s=self._cold_remaining_s(listed),
+        )
+
+    def _cold_remaining_s(self, listed: ListedServer) -> float:
+        """Return the time of a cold spell as it was first seen, so that the row stays the same."""
+        if listed.cold_remaining_s <= 0:
+            return 0.0
+        known = self._rows.get(listed.server)
+        if known is not None and known.cold_remaining_s >= listed.cold_remaining_s:
+            return known.cold_remaining_s
+        return listed.cold_remaining_s
+
+
+def reader_rank(own: MemberId, holder: MemberId | None, cores: list[MemberId]) -> int:
+    """Return when this core's turn to read comes: the holder of placement first."""
+    others = sorted(core for core in cores if core != holder)
+    if own == holder or own not in others:
+        return 0
+    return others.index(own) + (1 if holder is not None else 0)
--- a/src/zincvale/controlplane/placement/choose_server.py
+++ b/src/zincvale/controlplane/placement/choose_server.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from zincvale.controlplane.placement.eviction import NO_EVICTION, Eviction, find_eviction
+from zincvale.controlplane.placement.eviction import NO_EVICTION, Eviction, Space, find_eviction
 from zincvale.controlplane.placement.items import ItemKind, ItemRow
 from zincvale.controlplane.placement.servers import HoldingState, ServerState
 from zincvale.controlplane.placement.value import expected_rate
@@ -18,6 +18,10 @@
 LARGEST_FREE_SAMPLE = 16
 
 
+class AllServersBusy(Exception):
+    """Every server that may take the load has as many planned or running as it can start soon."""
+
+
 @attrs.frozen
 class Choice:
     """Where a load goes and what leaves for it."""
@@ -26,27 +30,22 @@
     eviction: Eviction
 
 
-def choose_server(
-    world: World, item: ItemRow, needed_bytes: int, spread_first: bool, now: float
-) -> Choice | None:
-    """Return the best server for one more copy of `item`, or None when none can hold it.
-
-    `needed_bytes` is the item's size and what should fit beside it.
+def choose_server(world: World, space: Space, spread_first: bool, now: float) -> Choice | None:
+    """Return the best server for one more copy of an item, or None when none can hold it.
 
     Servers with room come first, and among them other zones than those of present copies, servers
     that are not loading, and those whose models are asked for least. With `spread_first` another
-    zone comes before room.
+    zone comes before room. Raises `AllServersBusy` when servers could take it, but not soon.
     """
-    candidates = [
-        server for server in _candidates(world, item) if _may_take(world, item, server, now)
-    ]
+    item = space.item
+    candidates = _free_to_load(world, item, now)
     zones = _zones_of_copies(world, item)
-    roomy = [server for server in candidates if _has_room(world, item, server, needed_bytes)]
+    roomy = [server for server in candidates if space.fits(world, server)]
     if roomy and not spread_first:
         return Choice(_least(world, roomy, zones, now), NO_EVICTION)
     best: tuple[tuple[float, ...], Choice] | None = None
     for server in _sample(world, candidates, EVICTION_SAMPLE):
-        eviction = find_eviction(world, server, item, needed_bytes, now)
+        eviction = find_eviction(world, server, space, now)
         if eviction is None:
             continue
         score = (
@@ -59,21 +58,39 @@
     return best[1] if best is not None else None
 
 
+def _free_to_load(world: World, item: ItemRow, now: float) -> list[ServerState]:
+    """Return the servers that may take the load, and soon.
+
+    A load is bound to a server late, so that it does not queue at one while another is free.
+    Adapters go where their base is, and are short.
+    """
+    able = [server for server in _candidates(world, item) if _may_take(world, item, server, now)]
+    if item.kind is ItemKind.ADAPTER:
+        return able
+    free = [server for server in able if _pending(server) < server.load_slots(world.config, now)]
+    if able and not free:
+        raise AllServersBusy
+    return free
+
+
+def _pending(server: ServerState) -> int:
+    return server.loads_in_flight + server.planned_models
+
+
 def _least(
     world: World, servers: list[ServerState], zones: dict[ZoneName, int], now: float
 ) -> ServerState:
     if len(servers) > SHORTLIST:
-        servers = sorted(servers, key=lambda server: _rough_preference(world, server, zones, now))
+        servers = sorted(servers, key=lambda server: _rough_preference(world, server, zones))
     return min(servers[:SHORTLIST], key=lambda server: _preference(world, server, zones, now))
 
 
 def _rough_preference(
-    world: World, server: ServerState, zones: dict[ZoneName, int], now: float
+    world: World, server: ServerState, zones: dict[ZoneName, int]
 ) -> tuple[float, ...]:
-    busy = server.loads_in_flight + (1 if server.planned_bytes else 0)
     return (
         float(zones.get(server.zone, 0)),
-        float(busy >= server.load_slots(world.config, now)),
+        float(_pending(server)),
         world.random.random(),
     )
 
@@ -81,7 +98,7 @@
 def _preference(
     world: World, server: ServerState, zones: dict[ZoneName, int], now: float
 ) -> tuple[float, ...]:
-    zone_copies, busy, tie = _rough_preference(world, server, zones, now)
+    zone_copies, busy, tie = _rough_preference(world, server, zones)
     asked_for = _asked_for(world, server, now)
     free_bytes = float(server.free_planned_bytes(world.config, 0))
     return (zone_copies, busy, asked_for, -free_bytes, tie)
@@ -150,10 +167,6 @@
     return server.memory_bytes > 0
 
 
-def _has_room(world: World, item: ItemRow, server: ServerState, needed_bytes: int) -> bool:
-    return server.free_planned_bytes(world.config, item.kv_bytes) >= needed_bytes
-
-
 def _zones_of_copies(world: World, item: ItemRow) -> dict[ZoneName, int]:
     zones: dict[ZoneName, int] = {}
     for server_id in (*item.holders, *item.planned):
--- a/src/zincvale/controlplane/placement/config.py
+++ b/src/zincvale/controlplane/placement/config.py
@@ -43,7 +43,6 @@
     review_budget, plan_budget : items reviewed and loads planned in one run.
     review_interval_s : an item in demand is reviewed at least this often.
     candidate_sample : servers examined for one load when a pool is larger.
-    calendar_depth_per_store : planned loads per store beyond which only urgent ones are added.
     store_burst_s : seconds of a store's rate that may be ordered ahead.
     small_item_bytes, small_item_share : items up to this size may use that share of a store's
         rate while a large pull is still owed.
@@ -55,6 +54,8 @@
         order has no answer.
     shortest_status_interval_s : as above, near the end of a load.
     undeclared_grace_s : a copy that no resource declares is unloaded after this long.
+    serial_orders : a server carries out one order at a time; the next waits for its end.
+    confirms_orders : the runtime learns the end of an order itself; no status is asked for it.
     """
 
     plan_interval_s: float = 0.1
@@ -83,12 +84,11 @@
     companion_share: float = 0.1
     urgent_horizon_s: float = 600.0
     urgent_age_s: float = 1.0
-    declaration_budget: int = 800
+    declaration_budget: int = 400
     review_budget: int = 1500
     plan_budget: int = 16
     review_interval_s: float = 30.0
     candidate_sample: int = 48
-    calendar_depth_per_store: int = 6
     store_burst_s: float = 2.0
     small_item_bytes: int = GIGABYTE
     small_item_share: float = 0.2
@@ -101,6 +101,8 @@
     status_interval_s: float = 0.2
     shortest_status_interval_s: float = 0.1
     undeclared_grace_s: float = 30.0
+    serial_orders: bool = False
+    confirms_orders: bool = False
 
     @property
     def bucket_s(self) -> float:
--- a/src/zincvale/controlplane/placement/demand.py
+++ b/src/zincvale/controlplane/placement/demand.py
@@ -38,6 +38,10 @@
         seen_part = 1.0 - 0.5 ** (age / self.half_life_s)
         return weight / seen_part
 
+    def present(self, now: float) -> float:
+        """Return the events, each with what is left of its weight."""
+        return self._decayed(now)
+
     def _decayed(self, now: float) -> float:
         if now <= self.at:
             return self.count
--- a/src/zincvale/controlplane/placement/demand_intake.py
+++ b/src/zincvale/controlplane/placement/demand_intake.py
@@ -49,6 +49,8 @@
         if row.requests:
             first = item.demand.profile is None
             item.demand.add(row.requests, now, world.config)
+            if not item.serving:
+                item.missed.add(row.requests, now)
             if first or (item.wanted and not item.holders):
                 world.queue_review(key)
         if row.waiting:
--- a/src/zincvale/controlplane/placement/dispatch.py
+++ b/src/zincvale/controlplane/placement/dispatch.py
@@ -14,6 +14,7 @@
 from zincvale.controlplane.placement.move_ends import end_move, move_item_key
 from zincvale.controlplane.placement.moves import Move, MoveKind, MoveReason, MoveState
 from zincvale.controlplane.placement.servers import Holding, HoldingState, ServerState
+from zincvale.controlplane.placement.value import is_missed, need
 from zincvale.controlplane.placement.world import World
 from zincvale.model.identifiers import Address, MoveId, StoreName
 
@@ -46,11 +47,21 @@
         return
     if server.settled_epoch != world.leadership.epoch or now < server.retry_at:
         return
+    if _is_carrying_out(world, server):
+        return
     order = _order(world, move, OrderAction.UNLOAD, now, Address(""))
     world.set_state(server, move_item_key(move), holding, HoldingState.UNLOADING)
     _send(world, move, server, order, now)
 
 
+def _is_carrying_out(world: World, server: ServerState) -> bool:
+    """Whether the server must not get another order before the end of the one it has."""
+    if not world.config.serial_orders:
+        return False
+    moves = (world.moves[move_id] for move_id in world.moves_by_server.get(server.server, ()))
+    return any(move.in_flight for move in moves)
+
+
 def _is_pending(world: World, move_id: MoveId) -> bool:
     """Whether a move still waits for its order."""
     move = world.moves.get(move_id)
@@ -87,23 +98,19 @@
     ]
     if not planned:
         return
-    planned.sort(key=lambda move: _order_key(world, move))
+    planned.sort(key=lambda move: _order_key(world, move, now))
     held_back: set[StoreName] = set()
     for move in planned:
         if move.move_id in world.moves:
             _advance_load(world, move, held_back, now)
 
 
-def _order_key(world: World, move: Move) -> tuple[int, int, int, float]:
+def _order_key(world: World, move: Move, now: float) -> tuple[float, ...]:
     item = world.items.get(move_item_key(move))
-    waiting = item.waiting if item is not None else 0
-    urgency = 0 if _is_urgent(world, item) else move.urgency
-    return (urgency, -waiting, move.reservation.memory_bytes, move.created_at)
-
-
-def _is_urgent(world: World, item: ItemRow | None) -> bool:
-    """Whether requests wait for the item and no copy serves, whatever it was planned for."""
-    return item is not None and item.waiting > 0 and item.serving == 0
+    size = move.reservation.memory_bytes
+    if item is not None and is_missed(world, item, now):
+        return (0.0, -need(world, item, now) / max(size, 1), move.created_at)
+    return (float(move.urgency), float(size), move.created_at)
 
 
 def _advance_load(world: World, move: Move, held_back: set[StoreName], now: float) -> None:
@@ -120,7 +127,7 @@
         return
     if not _fits_now(world, move, item, server, now):
         # A larger, less urgent pull must not overtake an urgent one and owe the store's rate.
-        if _is_urgent(world, item):
+        if is_missed(world, item, now):
             held_back.add(move.store)
         return
     _order_load(world, move, item, server, now)
@@ -154,7 +161,12 @@
         return False
     if server.free_now_bytes(config, item.kv_bytes) < item.weight_bytes:
         return False
-    return world.stores[move.store].may_order(item.weight_bytes, now, config)
+    if item.kind is ItemKind.ADAPTER and not server.has_adapter_slot_now():
+        return False
+    if _is_carrying_out(world, server):
+        return False
+    store = world.stores[move.store]
+    return store.may_order(item.weight_bytes, now, config)
 
 
 def _order_load(world: World, move: Move, item: ItemRow, server: ServerState, now: float) -> None:
@@ -164,6 +176,8 @@
     server.loads_in_flight += 1
     server.planned_bytes -= move.reservation.memory_bytes
     server.planned_kv_bytes -= move.reservation.kv_bytes
+    server.planned_models -= move.item_kind is ItemKind.MODEL
+    server.planned_adapters -= move.item_kind is ItemKind.ADAPTER
     item.planned.pop(server.server, None)
     holding = Holding(HoldingState.LOADING, item.weight_bytes, item.kv_bytes, now)
     holding.move = move.move_id
--- a/src/zincvale/controlplane/placement/eviction.py
+++ b/src/zincvale/controlplane/placement/eviction.py
@@ -1,10 +1,14 @@
-"""Choice of what leaves a server to make room: the least worth a byte, never what is in use."""
+"""Choice of what leaves a server to make room: the least worth a byte.
+
+What is in use is not chosen, unless requests have waited for long: then a copy may be closed while
+requests still run on it, and is unloaded when they have ended.
+"""
 
 from __future__ import annotations
 
 import attrs
 
-from zincvale.controlplane.placement.items import ItemKey, ItemRow
+from zincvale.controlplane.placement.items import ItemKey, ItemKind, ItemRow, is_adapter_key
 from zincvale.controlplane.placement.servers import Holding, HoldingState, ServerState
 from zincvale.controlplane.placement.value import copy_value
 from zincvale.controlplane.placement.world import World
@@ -34,37 +38,79 @@
 
 
 NO_EVICTION = Eviction((), 0.0)
+DRAIN_COST_FACTOR = 3.0
+
+
+@attrs.frozen
+class Space:
+    """Room that a load asks for.
+
+    Attributes
+    ----------
+    needed_bytes : the item's size and what should fit beside it.
+    may_drain : copies on which requests run may be chosen too.
+    """
+
+    item: ItemRow
+    needed_bytes: int
+    may_drain: bool = False
 
+    def fits(self, world: World, server: ServerState) -> bool:
+        """Whether the server has the room already."""
+        return self.missing_bytes(world, server) <= 0 and not self.missing_adapter_slots(server)
 
-def find_eviction(
-    world: World, server: ServerState, item: ItemRow, needed_bytes: int, now: float
-) -> Eviction | None:
-    """Return what must leave `server` so that `item` has `needed_bytes`, or None."""
-    missing = needed_bytes - server.free_planned_bytes(world.config, item.kv_bytes)
-    if missing <= 0:
+    def missing_bytes(self, world: World, server: ServerState) -> int:
+        """Return what must leave the server, 0 or less when nothing must."""
+        free = server.free_planned_bytes(world.config, self.item.kv_bytes)
+        return self.needed_bytes - free
+
+    def missing_adapter_slots(self, server: ServerState) -> int:
+        """Return how many adapters must leave the server, 0 when none must."""
+        return server.missing_adapter_slots() if self.item.kind is ItemKind.ADAPTER else 0
+
+
+def find_eviction(world: World, server: ServerState, space: Space, now: float) -> Eviction | None:
+    """Return what must leave `server` to make the space, or None when it cannot be made."""
+    shortage = _Shortage(space.missing_bytes(world, server), space.missing_adapter_slots(server))
+    if shortage.is_met(server, []):
         return NO_EVICTION
-    groups = _groups(world, server, item, now)
+    groups = _groups(world, server, space, now)
+    if shortage.missing_bytes <= 0:
+        groups = [
+            group for group in groups if len(group.keys) == 1 and is_adapter_key(group.keys[0])
+        ]
     groups.sort(key=lambda group: group.cost / max(group.item_bytes, 1))
     chosen: list[VictimGroup] = []
     for group in groups:
         chosen.append(group)
-        if _freed_bytes(server, chosen) >= missing:
-            return _without_needless(server, chosen, missing)
+        if shortage.is_met(server, chosen):
+            return _without_needless(server, chosen, shortage)
     return None
 
 
-def _freed_bytes(server: ServerState, groups: list[VictimGroup]) -> int:
-    """Return the memory of all groups; an adapter may be in two of them."""
-    keys = {key for group in groups for key in group.keys}
-    return sum(server.holdings[key].item_bytes for key in keys)
+@attrs.frozen
+class _Shortage:
+    """What must become free on a server."""
+
+    missing_bytes: int
+    missing_adapter_slots: int
 
+    def is_met(self, server: ServerState, groups: list[VictimGroup]) -> bool:
+        """Whether it is free once the groups have left; an adapter may be in two of them."""
+        keys = {key for group in groups for key in group.keys}
+        freed_bytes = sum(server.holdings[key].item_bytes for key in keys)
+        freed_slots = sum(1 for key in keys if is_adapter_key(key))
+        return freed_bytes >= self.missing_bytes and freed_slots >= self.missing_adapter_slots
 
-def _without_needless(server: ServerState, chosen: list[VictimGroup], missing: int) -> Eviction:
+
+def _without_needless(
+    server: ServerState, chosen: list[VictimGroup], shortage: _Shortage
+) -> Eviction:
     """Keep the most costly groups that the others make needless."""
     needed = chosen
     for group in sorted(chosen, key=lambda group: -group.cost):
         others = [other for other in needed if other is not group]
-        if _freed_bytes(server, others) >= missing:
+        if shortage.is_met(server, others):
             needed = others
     # A model comes after its adapters, so that they are unloaded first.
     needed = sorted(needed, key=lambda group: len(group.keys))
@@ -72,7 +118,7 @@
     return Eviction(keys, sum(group.cost for group in needed))
 
 
-def _groups(world: World, server: ServerState, wanted: ItemRow, now: float) -> list[VictimGroup]:
+def _groups(world: World, server: ServerState, space: Space, now: float) -> list[VictimGroup]:
     adapters_by_model: dict[ItemKey, list[ItemKey]] = {}
     models: list[ItemKey] = []
     for key in server.holdings:
@@ -85,40 +131,43 @@
             adapters_by_model.setdefault(item.base, []).append(key)
     groups = []
     for model in models:
-        if model != wanted.base:
+        if model != space.item.base:
             keys = (*adapters_by_model.get(model, ()), model)
-            groups.append(_group(world, server, keys, now))
+            groups.append(_group(world, server, keys, space.may_drain, now))
     for adapters in adapters_by_model.values():
-        groups.extend(_group(world, server, (key,), now) for key in adapters)
+        groups.extend(_group(world, server, (key,), space.may_drain, now) for key in adapters)
     return [group for group in groups if group is not None]
 
 
 def _group(
-    world: World, server: ServerState, keys: tuple[ItemKey, ...], now: float
+    world: World, server: ServerState, keys: tuple[ItemKey, ...], may_drain: bool, now: float
 ) -> VictimGroup | None:
     cost = 0.0
     item_bytes = 0
     for key in keys:
         item = world.items[key]
         holding = server.holdings[key]
-        if not _may_leave(world, server, item, holding, now):
+        if not _may_leave(world, item, holding, now):
             return None
-        cost = max(cost, copy_value(world, item, now))
+        item_cost = copy_value(world, item, now)
+        if _is_used_here_only(world, server, item):
+            if not may_drain:
+                return None
+            item_cost *= DRAIN_COST_FACTOR
+        cost = max(cost, item_cost)
         item_bytes += holding.item_bytes
     return VictimGroup(keys, item_bytes, cost)
 
 
-def _may_leave(
-    world: World, server: ServerState, item: ItemRow, holding: Holding, now: float
-) -> bool:
-    """Whether a copy is neither in use, nor pinned, nor moving, nor just loaded."""
+def _may_leave(world: World, item: ItemRow, holding: Holding, now: float) -> bool:
+    """Whether a copy is neither pinned, nor moving, nor just loaded, nor waited for."""
     if holding.state is not HoldingState.LOADED or holding.closing or holding.move is not None:
         return False
     if now - holding.since < world.config.min_residency_s:
         return False
     others = item.serving - 1
-    if others < item.min_replicas:
-        return False
-    if others >= 1:
-        return True
-    return world.running_on(server, item.key) == 0 and item.waiting == 0
+    return others >= item.min_replicas and (others >= 1 or item.waiting == 0)
+
+
+def _is_used_here_only(world: World, server: ServerState, item: ItemRow) -> bool:
+    return item.serving <= 1 and world.running_on(server, item.key) > 0
--- a/src/zincvale/controlplane/placement/intent_intake.py
+++ b/src/zincvale/controlplane/placement/intent_intake.py
@@ -25,7 +25,7 @@
     StoreName,
     ZoneName,
 )
-from zincvale.model.resources import AdapterSpec, ModelSpec, StoreSpec
+from zincvale.model.resources import AdapterSpec, ModelSpec, PoolSpec, StoreSpec
 from zincvale.model.view import Intent
 
 UNDECLARED_STORE = StoreName("")
@@ -43,6 +43,9 @@
         world.pending_items[adapter_key(name)] = adapter_spec
     take_declarations(world, now)
     _take_zones(world, old, intent)
+    for name, pool_spec in _changes(old.pools, intent.pools):
+        for server_id in world.servers_by_pool.get(PoolName(name), {}):
+            _set_adapter_slots(world.servers[server_id], pool_spec)
     for name, _ in _changes(old.servers, intent.servers):
         server = world.servers.get(ServerId(name))
         if server is not None:
@@ -82,6 +85,15 @@
     world.recount_server(server)
 
 
+def _set_adapter_slots(server: ServerState, spec: PoolSpec | None) -> None:
+    server.adapter_slots = spec.adapter_slots if spec is not None else 0
+
+
+def set_adapter_slots(world: World, server: ServerState) -> None:
+    """Give a new server the limit of its pool."""
+    _set_adapter_slots(server, world.intent.pools.get(server.pool))
+
+
 def _changes(old: Mapping[Any, Any], new: Mapping[Any, Any]) -> list[tuple[Any, Any]]:
     """Return (name, new spec or None) of what differs."""
     if old is new:
@@ -103,10 +115,17 @@
         world.stores[name] = StoreState(
             name, Address(spec.address), spec.bytes_per_second, spec.max_concurrent_loads
         )
+        _set_window(world.stores[name], spec)
         return
     store.address = Address(spec.address)
     store.bytes_per_second = spec.bytes_per_second
     store.max_concurrent_loads = spec.max_concurrent_loads
+    _set_window(store, spec)
+
+
+def _set_window(store: StoreState, spec: StoreSpec) -> None:
+    store.loads_per_window = spec.loads_per_window
+    store.window_s = spec.window_s
 
 
 def _take_model(world: World, key: ItemKey, name: str, spec: ModelSpec, now: float) -> None:
@@ -171,8 +190,7 @@
     forget_item_demand(world, key)
     for server_id in item.holders:
         world.servers[server_id].holdings[key].counted_as = CountedAs.NOTHING
-    if item.holders:
-        world.undeclared[key] = dict.fromkeys(item.holders, now)
+        world.note_undeclared(key, server_id, now)
 
 
 def _take_zones(world: World, old: Intent, new: Intent) -> None:
--- a/src/zincvale/controlplane/placement/items.py
+++ b/src/zincvale/controlplane/placement/items.py
@@ -7,13 +7,15 @@
 
 import attrs
 
-from zincvale.controlplane.placement.demand import Demand
+from zincvale.controlplane.placement.demand import DecayedCount, Demand
 from zincvale.model.identifiers import PoolName, ServerId, StoreName
 from zincvale.model.resources import Stake
 
 ItemKey = NewType("ItemKey", str)
 """`model/NAME` or `adapter/NAME`."""
 
+MISSED_HALF_LIFE_S = 5.0
+
 
 class ItemKind(enum.Enum):
     """What an item is."""
@@ -32,6 +34,11 @@
     return ItemKey(f"adapter/{name}")
 
 
+def is_adapter_key(key: ItemKey) -> bool:
+    """Whether a key is an adapter's."""
+    return key.startswith("adapter/")
+
+
 @attrs.define(eq=False)
 class ItemRow:
     """A model or adapter: its declaration, its demand and where it is.
@@ -47,6 +54,7 @@
     serving, loading : how many of the holders serve it, or load it, on servers in service; kept
         true by `World.recount`.
     planned : servers for which a load is planned but not ordered.
+    missed : requests that came while no copy served.
     waiting : requests that wait for it at the nodes now.
     waiting_since : when `waiting` last left 0.
     running : requests that run on it now.
@@ -77,6 +85,7 @@
     serving: int = 0
     loading: int = 0
     planned: dict[ServerId, None] = attrs.field(factory=dict)
+    missed: DecayedCount = attrs.field(factory=lambda: DecayedCount(MISSED_HALF_LIFE_S))
     waiting: int = 0
     waiting_since: float = 0.0
     running: int = 0
--- a/src/zincvale/controlplane/placement/leadership.py
+++ b/src/zincvale/controlplane/placement/leadership.py
@@ -113,6 +113,8 @@
         move = world.moves[move_id]
         if not move.in_flight:
             continue
+        if config.confirms_orders and move.state is not MoveState.UNKNOWN:
+            continue
         if move.kind is not MoveKind.LOAD or move.state is not MoveState.RUNNING:
             soonest = min(soonest, last + config.status_interval_s)
             continue
--- /dev/null
+++ b/src/zincvale/controlplane/placement/load_worth.py
@@ -0,0 +1,84 @@
+"""Where a load could go, and whether that is worth what leaves for it."""
+
+from __future__ import annotations
+
+from zincvale.controlplane.placement.choose_server import Choice, choose_server
+from zincvale.controlplane.placement.eviction import Space
+from zincvale.controlplane.placement.items import ItemRow
+from zincvale.controlplane.placement.moves import MoveReason
+from zincvale.controlplane.placement.value import (
+    eviction_cost,
+    expected_rate,
+    foreseen_value,
+    item_value,
+    need,
+)
+from zincvale.controlplane.placement.world import World
+
+DRAIN_PATIENCE_S = 2.0
+"""Requests that waited this long may close a copy on which others still run."""
+EXPECTED_DRAIN_S = 5.0
+
+
+def find_place(world: World, item: ItemRow, reason: MoveReason, now: float) -> Choice | None:
+    """Return the best server for a load, with room for the adapters that come along if possible.
+
+    Raises `AllServersBusy` when servers could take it, but not soon.
+    """
+    spread_first = reason is MoveReason.MIN_REPLICAS
+    companions = _companion_bytes(world, item)
+    may_drain = item.waiting > 0 and now - item.waiting_since > DRAIN_PATIENCE_S
+    for extra in (companions, 0) if companions else (0,):
+        space = Space(item, item.weight_bytes + extra, may_drain)
+        choice = choose_server(world, space, spread_first, now)
+        if choice is not None:
+            return choice
+    return None
+
+
+def _companion_bytes(world: World, item: ItemRow) -> int:
+    """Return the room for adapters that were asked for and will come with the model."""
+    limit = int(item.weight_bytes * world.config.companion_share)
+    total = 0
+    for key in item.adapters:
+        adapter = world.items[key]
+        if adapter.demand.profile is not None and adapter.serving == 0:
+            total += adapter.weight_bytes
+    return min(total, limit)
+
+
+def is_worth(world: World, item: ItemRow, reason: MoveReason, choice: Choice, now: float) -> bool:
+    """Whether the load is worth more than what leaves for it."""
+    if not choice.eviction.keys or reason is MoveReason.MIN_REPLICAS:
+        return True
+    if reason is MoveReason.WAITING_REQUESTS:
+        cost = _waits_caused(world, choice, now)
+        return cost <= need(world, item, now) + eviction_cost(world, item, now)
+    if reason is MoveReason.DAILY_CHANGE:
+        victims = [world.items[key] for key in choice.eviction.keys]
+        if any(_needed_until_change(world, victim, now) for victim in victims):
+            return False
+        loss = max(foreseen_value(world, victim, now) for victim in victims)
+        return foreseen_value(world, item, now) > world.config.foreseen_gain * loss
+    return item_value(world, item, now) > world.config.swap_gain * choice.eviction.cost
+
+
+def _needed_until_change(world: World, item: ItemRow, now: float) -> bool:
+    """Whether the item will be asked for before the change that is looked ahead to."""
+    return item.demand.fast_rate(now) * world.config.lookahead_s >= 1.0
+
+
+def _waits_caused(world: World, choice: Choice, now: float) -> float:
+    """Return requests expected to wait; those of an adapter are among those of its model.
+
+    While a copy drains, requests for it wait already.
+    """
+    total = 0.0
+    for key in choice.eviction.keys:
+        victim = world.items[key]
+        if victim.base in choice.eviction.keys:
+            continue
+        total += eviction_cost(world, victim, now)
+        if world.running_on(choice.server, key):
+            total += expected_rate(world, victim, now) * EXPECTED_DRAIN_S
+    return total
--- a/src/zincvale/controlplane/placement/move_ends.py
+++ b/src/zincvale/controlplane/placement/move_ends.py
@@ -150,6 +150,7 @@
     if item is None:
         return
     item.failures = 0
+    item.missed.count = 0.0
     if move.reason is not MoveReason.FOUND_IN_PROGRESS:
         world.load_times.observe(
             item.key, item.weight_bytes, server.server, item.store, now - move.start_at
@@ -172,6 +173,8 @@
 ) -> None:
     server.planned_bytes -= move.reservation.memory_bytes
     server.planned_kv_bytes -= move.reservation.kv_bytes
+    server.planned_models -= move.item_kind is ItemKind.MODEL
+    server.planned_adapters -= move.item_kind is ItemKind.ADAPTER
     world.index_free(server)
     if item is not None:
         item.planned.pop(server.server, None)
@@ -188,6 +191,7 @@
     key = move_item_key(move)
     world.dependents.pop(move.move_id, None)
     server.planned_free_bytes -= move.reservation.memory_bytes
+    server.planned_free_adapters -= move.item_kind is ItemKind.ADAPTER
     if move.in_flight and move.answered_at is None:
         # The order may still arrive, and must not meet a load of the same item.
         server.barred_until[key] = move.start_at + world.config.order_lifetime_s
--- a/src/zincvale/controlplane/placement/order_answers.py
+++ b/src/zincvale/controlplane/placement/order_answers.py
@@ -17,6 +17,8 @@
 def take_accepted(world: World, order_id: str, done: bool, now: float) -> None:
     """The server took the order; unless it is done, the server's status tells when it is."""
     move = _waiting_move(world, order_id)
+    if move is None and done:
+        move = _running_move(world, order_id)
     if move is None:
         return
     taken = attrs.evolve(move, state=MoveState.RUNNING, answered_at=now)
@@ -41,8 +43,10 @@
 
 
 def take_unknown(world: World, order_id: str) -> None:
-    """The order got no answer: it may run."""
+    """The order got no answer, or its end could not be learned: it may run."""
     move = _waiting_move(world, order_id)
+    if move is None and world.config.confirms_orders:
+        move = _running_move(world, order_id)
     if move is not None:
         mark_unknown(world, move)
 
@@ -53,3 +57,10 @@
     if move is None or move.state not in (MoveState.ORDERED, MoveState.UNKNOWN):
         return None
     return move
+
+
+def _running_move(world: World, order_id: str) -> Move | None:
+    """Return the move of an order that was taken before and is now answered as done."""
+    move_id = world.move_by_order.get(order_id)
+    move = world.moves.get(move_id) if move_id is not None else None
+    return move if move is not None and move.state is MoveState.RUNNING else None
--- a/src/zincvale/controlplane/placement/plan_loads.py
+++ b/src/zincvale/controlplane/placement/plan_loads.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import enum
 import heapq
 
 from zincvale.controlplane.placement import log_events
-from zincvale.controlplane.placement.choose_server import Choice, choose_server
+from zincvale.controlplane.placement.choose_server import AllServersBusy, Choice
+from zincvale.controlplane.placement.config import PlacementConfig
 from zincvale.controlplane.placement.items import ItemKey, ItemKind, ItemRow
+from zincvale.controlplane.placement.load_worth import find_place, is_worth
 from zincvale.controlplane.placement.move_ends import base_name, end_move
 from zincvale.controlplane.placement.moves import (
-    URGENCY_BY_REASON,
     Move,
     MoveKind,
     MoveReason,
@@ -18,39 +20,54 @@
 )
 from zincvale.controlplane.placement.plan_unloads import plan_unload
 from zincvale.controlplane.placement.servers import HoldingState, ServerState
+from zincvale.controlplane.placement.stores import PlannedPulls, StoreState
 from zincvale.controlplane.placement.value import (
-    WEIGHT_BY_STAKE,
-    eviction_cost,
+    LEAST_NEED,
     expected_rate,
-    foreseen_value,
-    item_value,
 )
 from zincvale.controlplane.placement.world import World
 from zincvale.model.identifiers import MoveId, StoreName
 
-BESIDE = URGENCY_BY_REASON[MoveReason.BESIDE_BASE]
 REASONS = tuple(MoveReason)
+LOOKED_PAST = 64
+"""Shortages looked past in one run because their store or servers are taken up."""
 SHORTAGES_KEPT_PER_ITEM = 4
 UNPLACED_LOG_INTERVAL_S = 10.0
 
 
+class Planning(enum.Enum):
+    """What became of one attempt to plan a load."""
+
+    PLANNED = "planned"
+    BUSY = "busy"
+    """Looked at again in the next run: the servers are taken up for the moment."""
+    NOWHERE = "nowhere"
+
+
 def plan_loads(world: World, now: float) -> None:
-    """System: plan loads for the shortages of each store, within the depth of its calendar."""
-    if not world.leadership.held:
+    """System: plan loads for the shortages of each store, as far as they can soon be ordered.
+
+    What is planned early would hold its server and its victims while something more urgent comes.
+    """
+    if not world.leadership.held or not world.leadership.stores_open:
         return
     planned = _planned_by_store(world)
     budget = world.config.plan_budget
-    for store, queue in world.shortages.items():
+    for name, queue in world.shortages.items():
         _compact(world, queue)
-        budget = _plan_store(world, store, queue, planned.get(store, 0), budget, now)
+        store = world.stores.get(name)
+        if store is not None:
+            pulls = planned.setdefault(name, PlannedPulls())
+            budget = _plan_store(world, store, queue, pulls, budget, now)
 
 
-def _planned_by_store(world: World) -> dict[StoreName, int]:
-    counts: dict[StoreName, int] = {}
+def _planned_by_store(world: World) -> dict[StoreName, PlannedPulls]:
+    planned: dict[StoreName, PlannedPulls] = {}
     for move in world.moves.values():
         if move.kind is MoveKind.LOAD and move.state is MoveState.PLANNED:
-            counts[move.store] = counts.get(move.store, 0) + 1
-    return counts
+            pulls = planned.setdefault(move.store, PlannedPulls())
+            pulls.add(move.reservation.memory_bytes)
+    return planned
 
 
 def _compact(world: World, queue: list[tuple[int, float, int, ItemKey]]) -> None:
@@ -70,58 +87,76 @@
 
 def _plan_store(
     world: World,
-    store: StoreName,
+    store: StoreState,
     queue: list[tuple[int, float, int, ItemKey]],
-    planned: int,
+    planned: PlannedPulls,
     budget: int,
     now: float,
 ) -> int:
     """Plan loads of one store; return what is left of the run's budget."""
-    depth = world.config.calendar_depth_per_store
-    while queue and budget > 0:
-        entry = queue[0]
+    later: list[tuple[int, float, int, ItemKey]] = []
+    while queue and budget > 0 and len(later) < LOOKED_PAST:
+        entry = heapq.heappop(queue)
         item = _valid_item(world, entry)
         if item is None:
-            heapq.heappop(queue)
             continue
-        urgency = entry[0]
-        if urgency > BESIDE and planned >= depth:
-            break
-        heapq.heappop(queue)
-        item.shortage_stamp = 0
+        if not _still_short(world, item):
+            item.shortage_stamp = 0
+            continue
+        reason = REASONS[entry[0]]
+        if not _store_takes(store, item, reason, planned, now, world.config):
+            later.append(entry)
+            continue
         budget -= 1
-        if _still_short(world, item) and _plan(world, item, REASONS[urgency], now):
-            planned += 1
+        result = _plan(world, item, reason, now)
+        if result is Planning.BUSY:
+            later.append(entry)
+            continue
+        item.shortage_stamp = 0
+        if result is Planning.PLANNED:
+            planned.add(item.weight_bytes)
+    for entry in later:
+        heapq.heappush(queue, entry)
     return budget
 
 
+def _store_takes(
+    store: StoreState,
+    item: ItemRow,
+    reason: MoveReason,
+    planned: PlannedPulls,
+    now: float,
+    config: PlacementConfig,
+) -> bool:
+    """Whether the store can give the item by the time its victims have closed."""
+    if reason is MoveReason.FREE_MEMORY and store.occupied_slots(now) + planned.count > 0:
+        # What nobody asked for yet must not be in the way of what is asked for next.
+        return False
+    order_at = now + config.closing_wait_s
+    return store.may_plan(item.weight_bytes, planned, order_at, now, config)
+
+
 def _still_short(world: World, item: ItemRow) -> bool:
     return item.serving + world.coming_copies(item) < item.wanted
 
 
-def _plan(world: World, item: ItemRow, reason: MoveReason, now: float) -> bool:
-    store = world.stores.get(item.store)
-    if store is None or store.max_concurrent_loads == 0:
-        return False
-    choice = _choose(world, item, reason, now)
-    if choice is None or not _worth_it(world, item, reason, choice, now):
+def _plan(world: World, item: ItemRow, reason: MoveReason, now: float) -> Planning:
+    try:
+        choice = find_place(world, item, reason, now)
+    except AllServersBusy:
+        return Planning.BUSY
+    if choice is None or not is_worth(world, item, reason, choice, now):
         world.unplaced[item.key] = None
         _log_unplaced(world, item, reason, choice, now)
         if reason is not MoveReason.WAITING_REQUESTS:
             item.place_after = now + world.config.review_interval_s
-        return False
-    if choice.eviction.keys and reason is not MoveReason.WAITING_REQUESTS:
-        # Closing early would keep requests from the victims while the store is still owed.
-        closes_at = now + world.config.closing_wait_s
-        if store.free_at(now, world.config) > closes_at:
-            world.review_later(item, store.free_at(now, world.config))
-            return False
+        return Planning.NOWHERE
     _add_moves(world, item, reason, choice, now)
     if item.kind is ItemKind.MODEL:
         world.queue_adapters(item)
     if _still_short(world, item):
         world.queue_review(item.key)
-    return True
+    return Planning.PLANNED
 
 
 def _log_unplaced(
@@ -143,60 +178,6 @@
     )
 
 
-def _choose(world: World, item: ItemRow, reason: MoveReason, now: float) -> Choice | None:
-    spread_first = reason is MoveReason.MIN_REPLICAS
-    companions = _companion_bytes(world, item)
-    if companions:
-        needed = item.weight_bytes + companions
-        choice = choose_server(world, item, needed, spread_first, now)
-        if choice is not None:
-            return choice
-    return choose_server(world, item, item.weight_bytes, spread_first, now)
-
-
-def _companion_bytes(world: World, item: ItemRow) -> int:
-    """Return the room for adapters that were asked for and will come with the model."""
-    limit = int(item.weight_bytes * world.config.companion_share)
-    total = 0
-    for key in item.adapters:
-        adapter = world.items[key]
-        if adapter.demand.profile is not None and adapter.serving == 0:
-            total += adapter.weight_bytes
-    return min(total, limit)
-
-
-def _worth_it(world: World, item: ItemRow, reason: MoveReason, choice: Choice, now: float) -> bool:
-    if not choice.eviction.keys or reason is MoveReason.MIN_REPLICAS:
-        return True
-    if reason is MoveReason.WAITING_REQUESTS:
-        age = 1.0 + (now - item.waiting_since) / world.config.urgent_age_s
-        weight = item.waiting * WEIGHT_BY_STAKE[item.stake] * age
-        cost = _waits_caused(world, choice.eviction.keys, now)
-        return cost <= weight + eviction_cost(world, item, now)
-    if reason is MoveReason.DAILY_CHANGE:
-        victims = [world.items[key] for key in choice.eviction.keys]
-        if any(_needed_until_change(world, victim, now) for victim in victims):
-            return False
-        loss = max(foreseen_value(world, victim, now) for victim in victims)
-        return foreseen_value(world, item, now) > world.config.foreseen_gain * loss
-    return item_value(world, item, now) > world.config.swap_gain * choice.eviction.cost
-
-
-def _needed_until_change(world: World, item: ItemRow, now: float) -> bool:
-    """Whether the item will be asked for before the change that is looked ahead to."""
-    return item.demand.fast_rate(now) * world.config.lookahead_s >= 1.0
-
-
-def _waits_caused(world: World, keys: tuple[ItemKey, ...], now: float) -> float:
-    """Return requests expected to wait; those of an adapter are among those of its model."""
-    total = 0.0
-    for key in keys:
-        victim = world.items[key]
-        if victim.base not in keys:
-            total += eviction_cost(world, victim, now)
-    return total
-
-
 def _add_moves(world: World, item: ItemRow, reason: MoveReason, choice: Choice, now: float) -> None:
     server = choice.server
     detail = _detail(world, item, reason, choice, now)
@@ -231,6 +212,8 @@
     )
     server.planned_bytes += item.weight_bytes
     server.planned_kv_bytes += item.kv_bytes
+    server.planned_models += item.kind is ItemKind.MODEL
+    server.planned_adapters += item.kind is ItemKind.ADAPTER
     item.planned[server.server] = None
     world.index_free(server)
     world.put_move(move)
@@ -283,7 +266,7 @@
     per_minute = expected_rate(world, item, now) * 60.0
     facts = f"{copies} of {item.wanted} copies serve, {per_minute:.2f} requests/min expected"
     if reason is MoveReason.WAITING_REQUESTS:
-        facts += f", {item.waiting} requests wait since {now - item.waiting_since:.1f} s"
+        facts += _why_missed(item, now)
     if reason is MoveReason.MORE_LOAD:
         facts += f", {item.concurrency:.1f} requests at once"
     if choice.eviction.keys:
@@ -292,6 +275,15 @@
     return facts
 
 
+def _why_missed(item: ItemRow, now: float) -> str:
+    if item.waiting:
+        return f", {item.waiting} requests wait since {now - item.waiting_since:.1f} s"
+    missed = item.missed.present(now)
+    if missed >= LEAST_NEED:
+        return f", about {missed:.0f} requests came lately and found no copy"
+    return f", {item.min_replicas} copies are declared"
+
+
 def cancel_planned(world: World, now: float, outcome: str) -> None:
     """Give up everything that was not ordered."""
     for move in list(world.moves.values()):
--- a/src/zincvale/controlplane/placement/plan_unloads.py
+++ b/src/zincvale/controlplane/placement/plan_unloads.py
@@ -51,6 +51,7 @@
     holding.move = move.move_id
     world.set_closing(server, key, holding, True)
     server.planned_free_bytes += holding.item_bytes
+    server.planned_free_adapters += move.item_kind is ItemKind.ADAPTER
     world.index_free(server)
     world.put_move(move)
     world.queue_review(key)
@@ -66,14 +67,22 @@
 
 
 def unload_undeclared(world: World, now: float) -> None:
-    """System: unload copies of models and adapters that were deleted from the intent."""
-    if not world.undeclared or not world.leadership.held or world.intent.version == 0:
+    """System: unload copies of models and adapters that were deleted from the intent.
+
+    A process that has no intent yet knows nothing of what is declared, and unloads nothing.
+    """
+    if world.intent.version == 0:
         return
-    due_before = now - world.config.undeclared_grace_s
-    for key, found_by_server in list(world.undeclared.items()):
-        for server_id, found_at in found_by_server.items():
-            if found_at <= due_before:
-                _unload_copy(world, world.servers[server_id], key, now)
+    due = world.undeclared_due
+    while due and due[0][0] <= now:
+        _, server_id, key = due.popleft()
+        found_at = world.undeclared.get(key, {}).get(server_id)
+        if found_at is None:
+            continue
+        if found_at + world.config.undeclared_grace_s <= now and world.leadership.held:
+            _unload_copy(world, world.servers[server_id], key, now)
+        # Looked at again until it is gone: the unload may fail, or not be possible yet.
+        due.append((now + world.config.undeclared_grace_s, server_id, key))
 
 
 def _unload_copy(world: World, server: ServerState, key: ItemKey, now: float) -> None:
--- a/src/zincvale/controlplane/placement/report_intake.py
+++ b/src/zincvale/controlplane/placement/report_intake.py
@@ -8,7 +8,7 @@
 
 from zincvale.controlplane.placement import log_events
 from zincvale.controlplane.placement.events import DirectoryChanged, StatusReport
-from zincvale.controlplane.placement.intent_intake import refresh_service
+from zincvale.controlplane.placement.intent_intake import refresh_service, set_adapter_slots
 from zincvale.controlplane.placement.items import ItemKey, adapter_key, model_key
 from zincvale.controlplane.placement.move_ends import (
     adopt_load,
@@ -65,6 +65,7 @@
     world.watched[row.server] = None
     world.capacity_appeared = True
     refresh_service(world, server)
+    set_adapter_slots(world, server)
     return server
 
 
@@ -197,7 +198,7 @@
     """Count a copy that the tables did not have."""
     item = world.items.get(key)
     if item is None:
-        world.undeclared.setdefault(key, {})[server.server] = now
+        world.note_undeclared(key, server.server, now)
         world.add_holding(server, key, Holding(state, 0, 0, now))
         return
     holding = Holding(state, item.weight_bytes, item.kv_bytes, now)
@@ -255,6 +256,9 @@
     holding = server.holdings[key]
     move = _move_in_flight(world, holding)
     if move is None:
+        if world.config.confirms_orders and NEVER < asked_at < holding.since:
+            # The end of the load was learned another way, after the status was taken.
+            return
         pending = world.moves.get(holding.move) if holding.move is not None else None
         if pending is not None:
             end_move(world, pending, MoveState.CANCELLED, "the server no longer holds it", now)
--- a/src/zincvale/controlplane/placement/servers.py
+++ b/src/zincvale/controlplane/placement/servers.py
@@ -65,12 +65,16 @@
     cold_until : end of the ramp after its incarnation appeared.
     held_bytes, held_kv_bytes : sums over `holdings`.
     planned_bytes, planned_kv_bytes : loads planned but not ordered.
+    planned_models : loads of models planned but not ordered.
     planned_free_bytes : planned unloads, still counted in `held_bytes`.
     listing : names of the newest status, to skip a status that lists the same.
     listed_bytes : weights of what the newest status lists.
     unexplained_bytes : memory it reports in use beyond the weights that it lists.
     loads_in_flight : loads ordered and not seen over.
     barred_until : items not to be loaded yet, because an order to unload them may still arrive.
+    adapter_slots : adapters that fit beside each other, whatever their size; 0 means no limit.
+    held_adapters, planned_adapters, planned_free_adapters : adapters in `holdings`, in loads that
+        are planned but not ordered, and in planned unloads.
     """
 
     server: ServerId
@@ -95,6 +99,7 @@
     held_kv_bytes: int = 0
     planned_bytes: int = 0
     planned_kv_bytes: int = 0
+    planned_models: int = 0
     planned_free_bytes: int = 0
     listing: object = None
     listed_bytes: int = 0
@@ -103,6 +108,10 @@
     barred_until: dict[ItemKey, float] = attrs.field(factory=dict)
     retry_at: float = NEVER
     indexed_free_bytes: int = 0
+    adapter_slots: int = 0
+    held_adapters: int = 0
+    planned_adapters: int = 0
+    planned_free_adapters: int = 0
 
     @property
     def in_service(self) -> bool:
@@ -130,6 +139,17 @@
         weights = self.held_bytes + self.planned_bytes - self.planned_free_bytes
         return self.memory_bytes - self.headroom_bytes(config, kv_bytes) - weights
 
+    def has_adapter_slot_now(self) -> bool:
+        """Whether one more adapter fits, by what is held or may be in flight."""
+        return not self.adapter_slots or self.held_adapters < self.adapter_slots
+
+    def missing_adapter_slots(self) -> int:
+        """Return how many adapters must leave for one more, once the calendar is carried out."""
+        if not self.adapter_slots:
+            return 0
+        planned = self.held_adapters + self.planned_adapters - self.planned_free_adapters
+        return max(0, planned + 1 - self.adapter_slots)
+
     def load_slots(self, config: PlacementConfig, now: float) -> int:
         """Return how many loads may run here at once."""
         if now < self.cold_until:
--- a/src/zincvale/controlplane/placement/stores.py
+++ b/src/zincvale/controlplane/placement/stores.py
@@ -2,12 +2,27 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 import attrs
 
 from zincvale.controlplane.placement.config import PlacementConfig
 from zincvale.model.identifiers import Address, StoreName
 
 
+@attrs.define
+class PlannedPulls:
+    """Loads of one store that are planned and not ordered."""
+
+    count: int = 0
+    total_bytes: int = 0
+
+    def add(self, item_bytes: int) -> None:
+        """Count one more."""
+        self.count += 1
+        self.total_bytes += item_bytes
+
+
 @attrs.define(eq=False)
 class StoreState:
     """One store's budget.
@@ -22,6 +37,7 @@
     in_flight : loads ordered and not seen over.
     lingering_until : ends of pulls by servers that left the directory.
     owed_bytes, owed_small_bytes : at the time `paid_at`.
+    loads_per_window, window_s : loads that may begin in any time of this length; 0 means any.
     """
 
     store: StoreName
@@ -33,10 +49,13 @@
     owed_bytes: float = 0.0
     owed_small_bytes: float = 0.0
     paid_at: float = 0.0
+    loads_per_window: int = 0
+    window_s: float = 0.0
+    _begun: deque[float] = attrs.field(factory=deque)
 
     def may_order(self, item_bytes: int, now: float, config: PlacementConfig) -> bool:
         """Whether a load of `item_bytes` may be ordered now."""
-        if self.occupied_slots(now) >= self.max_concurrent_loads:
+        if self.occupied_slots(now) >= self.max_concurrent_loads or not self._window_left(now):
             return False
         self._pay(now, config)
         burst = self.bytes_per_second * config.store_burst_s
@@ -46,10 +65,24 @@
             return False
         return self.owed_small_bytes <= burst * config.small_item_share
 
+    def may_plan(
+        self, item_bytes: int, planned: PlannedPulls, at: float, now: float, config: PlacementConfig
+    ) -> bool:
+        """Whether a load may be planned to be ordered at `at`, after those already planned."""
+        if self.occupied_slots(now) + planned.count >= self.max_concurrent_loads:
+            return False
+        if item_bytes <= config.small_item_bytes:
+            return True
+        self._pay(now, config)
+        owed = max(self.owed_bytes - (at - now) * self.bytes_per_second, 0.0)
+        return owed + planned.total_bytes <= self.bytes_per_second * config.store_burst_s
+
     def order(self, item_bytes: int, now: float, config: PlacementConfig) -> None:
         """Take a slot and owe the bytes."""
         self._pay(now, config)
         self.in_flight += 1
+        if self.loads_per_window:
+            self._begun.append(now)
         self.owed_bytes += item_bytes
         if item_bytes <= config.small_item_bytes:
             self.owed_small_bytes += item_bytes
@@ -79,6 +112,12 @@
         over = self.owed_bytes - self.bytes_per_second * config.store_burst_s
         return now + max(over, 0.0) / self.bytes_per_second
 
+    def _window_left(self, now: float) -> bool:
+        """Whether one more load may begin in the window that ends now."""
+        while self._begun and self._begun[0] <= now - self.window_s:
+            self._begun.popleft()
+        return not self.loads_per_window or len(self._begun) < self.loads_per_window
+
     def _pay(self, now: float, config: PlacementConfig) -> None:
         elapsed = max(now - self.paid_at, 0.0)
         self.paid_at = now
--- a/src/zincvale/controlplane/placement/value.py
+++ b/src/zincvale/controlplane/placement/value.py
@@ -12,6 +12,8 @@
 HISTORY_WEIGHT = 0.5
 """Of what earlier days show for the time ahead, beside what is measured now."""
 SURPLUS_WEIGHT = 0.05
+LEAST_NEED = 0.5
+"""Below this an item is not missed now, only worth having."""
 WEIGHT_BY_STAKE = {Stake.LOW: 0.5, Stake.NORMAL: 1.0, Stake.HIGH: 4.0}
 
 
@@ -41,6 +43,29 @@
     return waits * WEIGHT_BY_STAKE[item.stake]
 
 
+def need(world: World, item: ItemRow, now: float) -> float:
+    """Return how much an item without any copy is missed now, in requests.
+
+    Requests that wait count, and those that came lately while there was none, which may have been
+    refused. What operators pinned counts as if one request waited. The longer something waits, the
+    more it counts.
+    """
+    requests = item.waiting + item.missed.present(now)
+    if item.min_replicas:
+        requests = max(requests, 1.0)
+    age = 1.0
+    if item.waiting:
+        age += (now - item.waiting_since) / world.config.urgent_age_s
+    return requests * age * WEIGHT_BY_STAKE[item.stake]
+
+
+def is_missed(world: World, item: ItemRow, now: float) -> bool:
+    """Whether no copy serves an item that requests ask for now."""
+    if item.serving:
+        return False
+    return item.waiting > 0 or need(world, item, now) >= LEAST_NEED
+
+
 def foreseen_value(world: World, item: ItemRow, now: float) -> float:
     """Return the value that earlier days show for the time ahead, else the present one."""
     config = world.config
--- a/src/zincvale/controlplane/placement/wanted.py
+++ b/src/zincvale/controlplane/placement/wanted.py
@@ -7,7 +7,7 @@
 
 from zincvale.controlplane.placement.items import ItemKind, ItemRow
 from zincvale.controlplane.placement.moves import URGENCY_BY_REASON, MoveReason
-from zincvale.controlplane.placement.value import WEIGHT_BY_STAKE, item_value
+from zincvale.controlplane.placement.value import is_missed, item_value, need
 from zincvale.controlplane.placement.world import World
 
 CONCURRENCY_TIME_S = 5.0
@@ -171,7 +171,8 @@
         return
     rank = -item_value(world, item, now)
     if reason is MoveReason.WAITING_REQUESTS:
-        rank = -item.waiting * WEIGHT_BY_STAKE[item.stake]
+        # Weighted shortest first: the sum of the waits is least.
+        rank = -need(world, item, now) / max(item.weight_bytes, 1)
     stamp = world.next_shortage_stamp
     world.next_shortage_stamp += 1
     item.shortage_stamp = stamp
@@ -182,7 +183,7 @@
 
 def _reason(world: World, item: ItemRow, serving: int, coming: int, now: float) -> MoveReason:
     copies = serving + coming
-    if copies == 0 and item.waiting:
+    if copies == 0 and is_missed(world, item, now):
         return MoveReason.WAITING_REQUESTS
     if copies < item.min_replicas:
         return MoveReason.MIN_REPLICAS
@@ -196,6 +197,8 @@
     predicted = item.demand.predicted_rate(now + config.lookahead_s, now, config)
     if predicted is not None and predicted > DAILY_CHANGE_FACTOR * item.demand.slow_rate(now):
         return MoveReason.DAILY_CHANGE
+    if item.demand.profile is None:
+        return MoveReason.FREE_MEMORY
     return MoveReason.HIGHER_VALUE
 
 
--- a/src/zincvale/controlplane/placement/world.py
+++ b/src/zincvale/controlplane/placement/world.py
@@ -12,7 +12,7 @@
 
 from zincvale.controlplane.placement.config import PlacementConfig
 from zincvale.controlplane.placement.events import Effect
-from zincvale.controlplane.placement.items import ItemKey, ItemKind, ItemRow
+from zincvale.controlplane.placement.items import ItemKey, ItemKind, ItemRow, is_adapter_key
 from zincvale.controlplane.placement.load_times import LoadTimes
 from zincvale.controlplane.placement.moves import Move
 from zincvale.controlplane.placement.servers import CountedAs, Holding, HoldingState, ServerState
@@ -70,6 +70,7 @@
         `capacity_appeared`.
     dependents : the load that waits for an unload.
     draining : servers out of service, with the time of their next check.
+    undeclared_due : the same copies in the order in which their grace ends.
     changed_moves : moves whose rows are to be published.
     """
 
@@ -101,6 +102,7 @@
     shortages: dict[StoreName, list[tuple[int, float, int, ItemKey]]] = attrs.field(factory=dict)
     watched: dict[ServerId, None] = attrs.field(factory=dict)
     undeclared: dict[ItemKey, dict[ServerId, float]] = attrs.field(factory=dict)
+    undeclared_due: deque[tuple[float, ServerId, ItemKey]] = attrs.field(factory=deque)
     unplaced: dict[ItemKey, None] = attrs.field(factory=dict)
     capacity_appeared: bool = False
     unplaced_queued_at: float = float("-inf")
@@ -190,6 +192,7 @@
     def add_holding(self, server: ServerState, key: ItemKey, holding: Holding) -> None:
         """Count an item in the server's memory."""
         server.holdings[key] = holding
+        server.held_adapters += is_adapter_key(key)
         server.held_bytes += holding.item_bytes
         server.held_kv_bytes += holding.kv_bytes
         item = self.items.get(key)
@@ -202,6 +205,7 @@
     def remove_holding(self, server: ServerState, key: ItemKey) -> None:
         """Take an item out of the server's memory: it was observed to be gone."""
         holding = server.holdings.pop(key)
+        server.held_adapters -= is_adapter_key(key)
         server.held_bytes -= holding.item_bytes
         server.held_kv_bytes -= holding.kv_bytes
         if holding.closing:
@@ -225,6 +229,11 @@
         holding.kv_bytes = item.kv_bytes
         self.index_free(server)
 
+    def note_undeclared(self, key: ItemKey, server_id: ServerId, now: float) -> None:
+        """Note a copy that no resource declares; it is unloaded after a grace."""
+        self.undeclared.setdefault(key, {})[server_id] = now
+        self.undeclared_due.append((now + self.config.undeclared_grace_s, server_id, key))
+
     def forget_undeclared(self, key: ItemKey, server_id: ServerId) -> None:
         """Take a copy off the list of undeclared ones."""
         copies = self.undeclared.get(key)
--- a/src/zincvale/coordination/change_batch.py
+++ b/src/zincvale/coordination/change_batch.py
@@ -61,7 +61,7 @@
         if isinstance(result, Failure):
             refused = result.failure()
             return ChangeResult(
-                INVALID,
+                CONFLICT if refused.is_conflict else INVALID,
                 current_version=self._version,
                 problem=refused.problem,
                 remedy=refused.remedy,
--- a/src/zincvale/coordination/changes.py
+++ b/src/zincvale/coordination/changes.py
@@ -23,10 +23,14 @@
 
 @attrs.frozen
 class ChangeRefused:
-    """Why a change cannot be applied; nothing was changed."""
+    """Why a change cannot be applied; nothing was changed.
+
+    `is_conflict` tells that another change won on the value this one was built on.
+    """
 
     problem: str
     remedy: str
+    is_conflict: bool = False
 
 
 Reducer = Callable[[Rows, bytes], Result[list[RowChange], ChangeRefused]]
--- a/src/zincvale/coordination/core_machine.py
+++ b/src/zincvale/coordination/core_machine.py
@@ -9,6 +9,8 @@
 import random
 from collections import deque
 
+import attrs
+
 from zincvale.coordination import log_events
 from zincvale.coordination.changes import ChangeNotes, KeyView, Reducer, RoleState, TopicView
 from zincvale.coordination.config import CoreConfig
@@ -143,6 +145,15 @@
         """Return the peer address of a member, if known."""
         return self._context.cores.address_of(member)
 
+    def live_cores(self, now: float) -> list[MemberId]:
+        """Return the other cores that were heard lately."""
+        return list(self._context.cores.live(now))
+
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other peer addresses for first contact."""
+        addresses = tuple(Address(seed) for seed in seeds)
+        self._context.config = attrs.evolve(self._context.config, seeds=addresses)
+
     def take_changes(self) -> ChangeNotes:
         """Return what changed since the last call."""
         return self._context.notes.take()
--- a/src/zincvale/coordination/node_lease.py
+++ b/src/zincvale/coordination/node_lease.py
@@ -85,6 +85,10 @@
         """Return the seeds, by address."""
         return [MemberId(f"@{seed}") for seed in self._config.seeds]
 
+    def use_seeds(self, seeds: tuple[Address, ...]) -> None:
+        """Take other addresses for first contact."""
+        self._config = attrs.evolve(self._config, seeds=seeds)
+
     def address_of(self, member: MemberId) -> Address | None:
         """Return where a core is reached."""
         info = self.cores.get(member)
--- a/src/zincvale/coordination/node_machine.py
+++ b/src/zincvale/coordination/node_machine.py
@@ -342,6 +342,10 @@
         registered = self._registered().get(member)
         return Address(decode_row(registered).peer_address) if registered is not None else None
 
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other peer addresses for first contact."""
+        self._lease.use_seeds(tuple(Address(seed) for seed in seeds))
+
     def take_changes(self) -> ChangeNotes:
         """Return what changed since the last call."""
         return self._poller.notes.take()
--- a/src/zincvale/coordination/topics.py
+++ b/src/zincvale/coordination/topics.py
@@ -9,6 +9,9 @@
 from zincvale.coordination.messages import PublishTopic, TopicDelta
 from zincvale.coordination.tables import Difference, VersionedTable
 
+LEADERLESS_PREFIX = "listed-"
+"""Topics of this prefix are published without a role: their epochs fence nothing."""
+
 
 class TopicTables:
     """Every topic this process knows."""
@@ -22,8 +25,15 @@
         return sorted(self._tables)
 
     def newest_epoch(self) -> int:
-        """Return the newest epoch of any topic."""
-        return max(self._epochs.values(), default=0)
+        """Return the newest fencing epoch of any topic."""
+        return max(
+            (
+                epoch
+                for topic, epoch in self._epochs.items()
+                if not topic.startswith(LEADERLESS_PREFIX)
+            ),
+            default=0,
+        )
 
     def view(self, topic: str) -> TopicView:
         """Return a topic as last published."""
--- a/src/zincvale/daemons/api_http.py
+++ b/src/zincvale/daemons/api_http.py
@@ -4,21 +4,48 @@
 
 import itertools
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from tornado.concurrent import Future
 from tornado.ioloop import IOLoop
 from tornado.web import RequestHandler
 
-from zincvale.controlplane.api import ControlApi
 from zincvale.controlplane.api_messages import ApiEffect, ApiRequest, ApiResponse, CallCore
 from zincvale.runtime.driver import MachineDriver
 
 
+class OperatorApi(Protocol):
+    """A pure machine behind the operators' address: `ControlApi` or `DocumentApi`."""
+
+    def handle(self, request: ApiRequest, now: float) -> list[ApiEffect]:
+        """Take one request; the answer is among the effects now or later."""
+        ...
+
+    def core_replied(self, token: str, message: Any, now: float) -> list[ApiEffect]:
+        """Take the core's answer to `CallCore(token, ...)`."""
+        ...
+
+    def core_failed(self, token: str, reason: str, now: float) -> list[ApiEffect]:
+        """Take notice that `CallCore(token, ...)` gets no answer."""
+        ...
+
+    def abandoned(self, token: str) -> None:
+        """Forget a request whose client went away."""
+        ...
+
+    def intent_changed(self, now: float) -> list[ApiEffect]:
+        """Answer what waited for the newest intent."""
+        ...
+
+    def tick(self, now: float) -> list[ApiEffect]:
+        """Answer what has waited for its time."""
+        ...
+
+
 class ControlApiServer:
-    """Carries out the control API's effects."""
+    """Carries out the effects of the operators' API."""
 
-    def __init__(self, api: ControlApi, driver: MachineDriver, clock: Callable[[], float]) -> None:
+    def __init__(self, api: OperatorApi, driver: MachineDriver, clock: Callable[[], float]) -> None:
         self._api = api
         self._driver = driver
         self._clock = clock
--- /dev/null
+++ b/src/zincvale/daemons/core_assembly.py
@@ -0,0 +1,62 @@
+"""What every core daemon is assembled from, whatever its operators and servers speak."""
+
+from __future__ import annotations
+
+from zincvale.coordination.config import CoreConfig, InitialCore, NodeConfig, Timings
+from zincvale.daemons.roles import CORE_ROLES
+from zincvale.model.identifiers import Address, MemberId, ZoneName
+from zincvale.runtime.settings import DaemonSettings
+
+
+def core_config(
+    settings: DaemonSettings,
+    incarnation: str,
+    bootstrap: bool,
+    recover: bool = False,
+    timings: Timings | None = None,
+) -> CoreConfig:
+    """Return the coordination machine's configuration of a core."""
+    return CoreConfig(
+        cluster_id=settings.cluster_id,
+        member=MemberId(settings.member_id),
+        incarnation=incarnation,
+        zone=ZoneName(settings.zone),
+        region=settings.region,
+        api_address=Address(settings.api_address),
+        peer_address=Address(settings.peer_address),
+        seeds=tuple(Address(seed) for seed in settings.seeds),
+        bootstrap=bootstrap,
+        recover=recover,
+        initial_cores=tuple(
+            InitialCore(
+                MemberId(core.member_id),
+                Address(core.api_address),
+                Address(core.peer_address),
+                ZoneName(core.zone),
+            )
+            for core in settings.bootstrap_cores
+        ),
+        roles=CORE_ROLES,
+        timings=timings or Timings(),
+    )
+
+
+def node_config(
+    settings: DaemonSettings,
+    incarnation: str,
+    topics: tuple[str, ...] = ("directory", "moves"),
+    timings: Timings | None = None,
+) -> NodeConfig:
+    """Return the coordination machine's configuration of a node."""
+    return NodeConfig(
+        cluster_id=settings.cluster_id,
+        member=MemberId(settings.member_id),
+        incarnation=incarnation,
+        zone=ZoneName(settings.zone),
+        region=settings.region,
+        api_address=Address(settings.api_address),
+        peer_address=Address(settings.peer_address),
+        seeds=tuple(Address(seed) for seed in settings.seeds),
+        topics=topics,
+        timings=timings or Timings(),
+    )
--- a/src/zincvale/daemons/core_daemon.py
+++ b/src/zincvale/daemons/core_daemon.py
@@ -30,10 +30,10 @@
 from zincvale.controlplane.placement.events import IntentChanged as PlacementIntentChanged
 from zincvale.controlplane.reducer import IntentReducer
 from zincvale.coordination.changes import ChangeNotes
-from zincvale.coordination.config import CoreConfig, InitialCore
 from zincvale.coordination.core_machine import CoreMachine
 from zincvale.coordination.replica_sets import INTENT_KEY
 from zincvale.daemons.api_http import ControlApiServer
+from zincvale.daemons.core_assembly import core_config
 from zincvale.daemons.core_view import LocalCoreView
 from zincvale.daemons.demand_intake import demand_reported
 from zincvale.daemons.directory_runner import DirectoryRunner
@@ -42,12 +42,12 @@
 from zincvale.daemons.placement_runner import PlacementRunner
 from zincvale.daemons.process import NO_DRAIN, build_process
 from zincvale.daemons.role_guard import RoleGuard
-from zincvale.daemons.roles import CORE_ROLES, PLACEMENT_ROLE
+from zincvale.daemons.roles import PLACEMENT_ROLE
 from zincvale.daemons.storage_setup import open_disk
 from zincvale.daemons.topic_publisher import TopicPublisher
 from zincvale.dataplane.policies.registry import policy_names
 from zincvale.model.errors import ZincvaleError
-from zincvale.model.identifiers import Address, MemberId, ServerId, ZoneName
+from zincvale.model.identifiers import MemberId, ServerId
 from zincvale.model.machine import Tick
 from zincvale.model.view import ServerRow
 from zincvale.runtime import log_events
@@ -86,7 +86,7 @@
         )
         recovered = files.load()
         self.machine = CoreMachine(
-            _core_config(settings, incarnation, bootstrap, recover),
+            core_config(settings, incarnation, bootstrap, recover),
             recovered,
             {INTENT_KEY: IntentReducer(frozenset(policy_names()))},
             self._random,
@@ -228,32 +228,5 @@
         self._placement.feed(LeaderLost())
 
 
-def _core_config(
-    settings: DaemonSettings, incarnation: str, bootstrap: bool, recover: bool
-) -> CoreConfig:
-    return CoreConfig(
-        cluster_id=settings.cluster_id,
-        member=MemberId(settings.member_id),
-        incarnation=incarnation,
-        zone=ZoneName(settings.zone),
-        region=settings.region,
-        api_address=Address(settings.api_address),
-        peer_address=Address(settings.peer_address),
-        seeds=tuple(Address(seed) for seed in settings.seeds),
-        bootstrap=bootstrap,
-        recover=recover,
-        initial_cores=tuple(
-            InitialCore(
-                MemberId(core.member_id),
-                Address(core.api_address),
-                Address(core.peer_address),
-                ZoneName(core.zone),
-            )
-            for core in settings.bootstrap_cores
-        ),
-        roles=CORE_ROLES,
-    )
-
-
 def _ignore_request(handler: Any) -> None:
     """Write no access log: the record is kept by traces."""
--- /dev/null
+++ b/src/zincvale/daemons/forwarding_core.py
@@ -0,0 +1,331 @@
+"""The core daemon of a forwarding deployment: the document, the server list and placement."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+from typing import Any
+
+import attrs
+from tornado.ioloop import PeriodicCallback
+from tornado.web import Application
+
+from zincvale.controlplane.document_api import DocumentApi
+from zincvale.controlplane.document_intent import DocumentIntent, StoreTerms
+from zincvale.controlplane.document_reducer import DocumentReducer
+from zincvale.controlplane.document_rows import DocumentDecoder
+from zincvale.controlplane.listed_servers import (
+    LISTED_TOPIC,
+    ListedServers,
+    ServersSeen,
+    reader_rank,
+)
+from zincvale.controlplane.placement.config import PlacementConfig
+from zincvale.controlplane.placement.controller import PlacementController
+from zincvale.controlplane.placement.events import (
+    DirectoryChanged,
+    IntentChanged,
+    LeaderGained,
+    LeaderLost,
+    Order,
+    StatusReport,
+)
+from zincvale.coordination.config import Timings
+from zincvale.coordination.core_machine import CoreMachine
+from zincvale.coordination.messages import PublishTopic
+from zincvale.coordination.replica_sets import INTENT_KEY
+from zincvale.daemons.api_http import ControlApiServer
+from zincvale.daemons.core_assembly import core_config
+from zincvale.daemons.core_view import LocalCoreView
+from zincvale.daemons.demand_intake import demand_reported
+from zincvale.daemons.forwarding_seams import ForwardingDialects
+from zincvale.daemons.http_fetch import HttpFetcher
+from zincvale.daemons.list_runner import ListRunner
+from zincvale.daemons.order_spans import OrderSpans
+from zincvale.daemons.placement_runner import PlacementRunner
+from zincvale.daemons.process import NO_DRAIN, build_process
+from zincvale.daemons.residency_rows import RESIDENCY_TOPIC, encode_residency
+from zincvale.daemons.role_guard import RoleGuard
+from zincvale.daemons.roles import PLACEMENT_ROLE
+from zincvale.daemons.storage_setup import open_disk
+from zincvale.daemons.topic_publisher import TopicPublisher
+from zincvale.model.errors import ZincvaleError
+from zincvale.model.forwarding import ForwardingDocument
+from zincvale.model.identifiers import MemberId, ServerId
+from zincvale.model.machine import Tick
+from zincvale.model.view import ServerHealth, ServerRow
+from zincvale.runtime import log_events
+from zincvale.runtime.clock import suspend_aware_now, wall_now
+from zincvale.runtime.forwarding_settings import ForwardingSettings
+from zincvale.runtime.incarnation import new_incarnation
+from zincvale.runtime.logs import log
+from zincvale.runtime.settings import DaemonSettings
+from zincvale.storage.version_files import VersionFiles
+from zincvale.tracing.config import TracingConfig
+from zincvale.tracing.service import TracingService
+
+SYSTEMS_INTERVAL_MS = 50
+MACHINE_TICK_MS = 50
+SLOW_TICK_S = 0.25
+
+
+class ForwardingCore:
+    """Assembles one core process.
+
+    Parameters
+    ----------
+    bootstrap : whether this start may create the cluster.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        forwarding: ForwardingSettings,
+        dialects: ForwardingDialects,
+        timings: Timings,
+        bootstrap: bool,
+    ) -> None:
+        incarnation = new_incarnation()
+        self._settings = settings
+        self._forwarding = forwarding
+        self._dialects = dialects
+        self._clock = suspend_aware_now
+        self._random = random.Random(incarnation)
+        self._name = f"{settings.member_id}/{incarnation}"
+        files = VersionFiles(
+            Path(settings.data_folder),
+            open_disk(settings),
+            settings.cluster_id,
+            self._random,
+            lambda number, fields: log(number, **fields),
+        )
+        recovered = files.load()
+        self.machine = CoreMachine(
+            core_config(settings, incarnation, bootstrap, timings=timings),
+            recovered,
+            {INTENT_KEY: DocumentReducer()},
+            self._random,
+            self._clock(),
+        )
+        self.process = build_process(
+            settings,
+            incarnation,
+            self.machine,
+            self._clock,
+            files,
+            self.machine.address_of,
+            self._after_input,
+            MACHINE_TICK_MS,
+        )
+        self._decoder = DocumentDecoder()
+        self._intent = DocumentIntent(StoreTerms(forwarding.store_window_s, forwarding.store_over))
+        self._view = LocalCoreView(self.machine, self._clock)
+        api = DocumentApi(self._view, dialects.operators, self._name)
+        self._api = ControlApiServer(api, self.process.driver, self._clock)
+        self._build_tracing()
+        self._build_systems()
+        self._role_epoch = 0
+        self._slow_due_at = 0.0
+        self._touched: set[ServerId] = set()
+        self._published_residency: dict[str, bytes] = {}
+        self._ticker = PeriodicCallback(self._tick, SYSTEMS_INTERVAL_MS)
+
+    def run(self) -> None:
+        """Serve until told to stop."""
+        self.process.listen(Application(self._api.routes(), log_function=_ignore_request))
+        self._placement.start()
+        self._ticker.start()
+        self.process.run(NO_DRAIN)
+        self._ticker.stop()
+
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take seeds that changed while the process runs."""
+        self.machine.use_seeds(seeds)
+
+    def _build_tracing(self) -> None:
+        self._tracing = TracingService(
+            MemberId(self._settings.member_id),
+            self._random,
+            self._clock,
+            wall_now,
+            self.process.peers.send,
+            TracingConfig(head_sampling=False),
+            log,
+        )
+        self.process.router.add_service("tracing", self._tracing.handle_message)
+
+    def _build_systems(self) -> None:
+        settings = self._settings
+        fetcher = HttpFetcher(settings.address_map, settings.member_id, settings.peer_address)
+        guard = RoleGuard(self.machine, PLACEMENT_ROLE, self._clock)
+        publisher = TopicPublisher(self.process.driver, guard)
+        self._list = ListRunner(
+            ListedServers(self._name, self._forwarding.list_lag_s, self._clock()),
+            self._dialects.server_list,
+            fetcher,
+            self._forwarding.list_address,
+            self.process.driver,
+            self._clock,
+            self._send_to_cores,
+            self._servers_seen,
+        )
+        self._controller = PlacementController(self._random, self._placement_config())
+        self._placement = PlacementRunner(
+            self._controller,
+            fetcher,
+            publisher,
+            self._clock,
+            wall_now,
+            lambda server: self._list.machine.rows.get(server),
+            OrderSpans(self._tracing.recorder),
+            self._dialects.orders,
+            settings.member_id,
+            self._expected_load_s,
+            lambda server: self._touched.add(server),
+        )
+        self.process.router.add_service("dataplane", self._demand_received)
+        self.process.router.add_service("listed", self._list.message_received)
+
+    def _placement_config(self) -> PlacementConfig:
+        return PlacementConfig(
+            plan_interval_s=0.05,
+            order_lifetime_s=self._forwarding.order_quiet_s,
+            closing_wait_s=0.05,
+            max_loads_per_server=1,
+            kv_headroom_fraction=0.0,
+            kv_tokens_per_model=0,
+            fast_half_life_s=5.0,
+            slow_half_life_s=20.0,
+            status_interval_s=0.5,
+            finished_moves_kept=20,
+            undeclared_grace_s=600.0,
+            serial_orders=True,
+            confirms_orders=True,
+        )
+
+    # --- inputs of the systems ------------------------------------------------------------
+
+    def _after_input(self) -> None:
+        changes = self.machine.take_changes()
+        if INTENT_KEY in changes.keys:
+            self._document_changed()
+        if changes.members:
+            self._tracing.apply_members(self._view.members())
+        if LISTED_TOPIC in changes.topics:
+            self._list.topic_changed(self.machine.topic(LISTED_TOPIC))
+
+    def _document_changed(self) -> None:
+        rows = self.machine.value(INTENT_KEY)
+        try:
+            document = self._decoder.update(rows.version, rows.rows)
+        except ZincvaleError as error:
+            log(log_events.INTENT_UNREADABLE, problem=str(error))
+            return
+        self._placement.feed(IntentChanged(self._intent.update(document)))
+        self._list.document_changed(document)
+        self._api.intent_changed()
+
+    @property
+    def _document(self) -> ForwardingDocument:
+        return self._decoder.document
+
+    def _servers_seen(self, seen: ServersSeen) -> None:
+        """Feed placement; a settled server's own holdings change only by our orders."""
+        reports = tuple(
+            StatusReport(_for_placement(row), self._told_at(row, seen.asked_at))
+            for row in seen.rows
+            if row.draining or not self._is_settled(row.server)
+        )
+        self._placement.feed(DirectoryChanged(reports, seen.gone))
+        self._touched.update(seen.gone)
+        self._touched.update(row.server for row in seen.rows)
+
+    def _is_settled(self, server: ServerId) -> bool:
+        state = self._controller.world.servers.get(server)
+        return (
+            state is not None
+            and bool(self._role_epoch)
+            and (state.settled_epoch == self._role_epoch)
+        )
+
+    def _told_at(self, row: ServerRow, asked_at: float) -> float:
+        return asked_at if self._role_epoch else float("-inf")
+
+    def _demand_received(self, sender: MemberId, message: Any) -> None:
+        self._placement.feed(demand_reported(message))
+
+    def _send_to_cores(self, message: Any) -> None:
+        for core in self.machine.live_cores(self._clock()):
+            self.process.peers.send(core, message)
+
+    def _expected_load_s(self, order: Order) -> float:
+        pool = self._document.pools.get(order.store)
+        if pool is None or pool.engine is None or order.name not in pool.engine.models:
+            return 0.0
+        return pool.engine.models[order.name].load_s
+
+    # --- time -----------------------------------------------------------------------------
+
+    def _tick(self) -> None:
+        now = self._clock()
+        self._follow_role(now)
+        self._list.tick(self._reader_rank(now), now)
+        self._placement.feed(Tick())
+        self._publish_residency()
+        if now >= self._slow_due_at:
+            self._slow_due_at = now + SLOW_TICK_S
+            self._api.tick(now)
+            self._tracing.tick(now)
+
+    def _reader_rank(self, now: float) -> int:
+        own = MemberId(self._settings.member_id)
+        holder = self.machine.role_holders(now).get(PLACEMENT_ROLE, (None, 0))[0]
+        return reader_rank(own, holder, [own, *self.machine.live_cores(now)])
+
+    def _follow_role(self, now: float) -> None:
+        state = self.machine.role(PLACEMENT_ROLE, now)
+        if not state.held:
+            self._lose_role()
+            return
+        if state.epoch != self._role_epoch:
+            self._lose_role()
+            self._role_epoch = state.epoch
+            self._placement.epoch = state.epoch
+            self._published_residency = {}
+            self._touched.update(self._controller.world.servers)
+        self._placement.feed(LeaderGained(state.epoch, state.acts_until))
+
+    def _lose_role(self) -> None:
+        if self._role_epoch:
+            self._role_epoch = 0
+            self._placement.feed(LeaderLost())
+
+    def _publish_residency(self) -> None:
+        """Tell the nodes what changed of the servers' holdings."""
+        if not self._role_epoch or not self._touched:
+            return
+        touched, self._touched = self._touched, set()
+        puts: dict[str, bytes] = {}
+        deletes: list[str] = []
+        for server in touched:
+            state = self._controller.world.servers.get(server)
+            if state is None:
+                if self._published_residency.pop(server, None) is not None:
+                    deletes.append(server)
+                continue
+            row = encode_residency(state)
+            if self._published_residency.get(server) != row:
+                self._published_residency[server] = puts[server] = row
+        if puts or deletes:
+            self._placement.publish(PublishTopic(RESIDENCY_TOPIC, self._role_epoch, puts, deletes))
+
+
+def _for_placement(row: ServerRow) -> ServerRow:
+    """Return a row as placement takes it: a server that is about to leave gets no loads."""
+    if not row.draining:
+        return row
+    return attrs.evolve(row, health=ServerHealth.DOWN)
+
+
+def _ignore_request(handler: Any) -> None:
+    """Write no access log: the record is kept by traces."""
--- /dev/null
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -0,0 +1,239 @@
+"""The node daemon of a forwarding deployment: callers, servers and the record."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.ioloop import IOLoop, PeriodicCallback
+from tornado.web import Application, RequestHandler
+
+from zincvale.controlplane.directory_rows import DirectoryDecoder
+from zincvale.controlplane.document_rows import DocumentDecoder
+from zincvale.controlplane.listed_servers import LISTED_TOPIC
+from zincvale.controlplane.placement.move_rows import closing_by_server, decode_move
+from zincvale.coordination.config import Timings
+from zincvale.coordination.node_machine import NodeMachine
+from zincvale.coordination.replica_sets import INTENT_KEY
+from zincvale.daemons.core_assembly import node_config
+from zincvale.daemons.core_view import MOVES_TOPIC
+from zincvale.daemons.forwarding_seams import ForwardingDialects
+from zincvale.daemons.process import Drain, build_process
+from zincvale.daemons.residency_rows import RESIDENCY_TOPIC, ResidencyDecoder
+from zincvale.dataplane.forwarding.budgets import ColdTerms, RetryTerms
+from zincvale.dataplane.forwarding.service import ForwardingService
+from zincvale.dataplane.forwarding.world import ForwardingTerms
+from zincvale.model.errors import ZincvaleError
+from zincvale.model.identifiers import MemberId, ZoneName
+from zincvale.model.view import Role
+from zincvale.runtime import log_events
+from zincvale.runtime.clock import suspend_aware_now, wall_now
+from zincvale.runtime.forwarding_settings import ForwardingSettings
+from zincvale.runtime.incarnation import new_incarnation
+from zincvale.runtime.listening import listen
+from zincvale.runtime.logs import log
+from zincvale.runtime.settings import DaemonSettings
+from zincvale.tracing.service import TracingService
+
+NODE_TICK_MS = 100
+SERVICES_INTERVAL_MS = 250
+DEMAND_INTERVAL_S = 1.0
+LAME_DUCK_S = 3.2
+"""A stopping node goes on taking callers for so long: the platform asks for readiness each second
+and stops sending callers after two misses."""
+GRACE_MARGIN_S = 0.6
+MAX_CALLER_BODY_BYTES = 64 * 1024 * 1024
+TOPICS = (LISTED_TOPIC, MOVES_TOPIC, RESIDENCY_TOPIC)
+
+
+class ForwardingNode:
+    """Assembles one node process."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        forwarding: ForwardingSettings,
+        dialects: ForwardingDialects,
+        timings: Timings,
+    ) -> None:
+        incarnation = new_incarnation()
+        self._settings = settings
+        self._forwarding = forwarding
+        self._clock = suspend_aware_now
+        self._random = random.Random(incarnation)
+        self._member = MemberId(settings.member_id)
+        self._documents = DocumentDecoder()
+        self._directory = DirectoryDecoder()
+        self._residencies = ResidencyDecoder()
+        self._demand_due_at = 0.0
+        self._demand_urgent = False
+        self._was_ready = False
+        self._drain_began_at = 0.0
+        self.machine = NodeMachine(
+            node_config(settings, incarnation, TOPICS, timings), self._random, self._clock()
+        )
+        self.process = build_process(
+            settings,
+            incarnation,
+            self.machine,
+            self._clock,
+            None,
+            self.machine.address_of,
+            self._after_input,
+            NODE_TICK_MS,
+        )
+        self._build_services(dialects)
+        self._ticker = PeriodicCallback(self._tick, SERVICES_INTERVAL_MS)
+
+    def run(self) -> None:
+        """Serve until told to stop; then drain."""
+        settings, forwarding = self._settings, self._forwarding
+        self.process.listen_peers()
+        servers: list[HTTPServer] = [
+            listen(
+                self._service.callers(),
+                settings.api_address,
+                "api_address",
+                MAX_CALLER_BODY_BYTES,
+            ),
+            listen(
+                Application(self._own_routes(), log_function=_ignore_request),
+                forwarding.readiness_address,
+                "readiness_address",
+                MAX_CALLER_BODY_BYTES,
+            ),
+        ]
+        self._ticker.start()
+        limit_s = max(LAME_DUCK_S, forwarding.grace_s - GRACE_MARGIN_S)
+        self.process.run(Drain(self._start_draining, self._is_drained, limit_s))
+        self._ticker.stop()
+        for server in servers:
+            server.stop()
+        self._service.close()
+
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take seeds that changed while the process runs."""
+        self.machine.use_seeds(seeds)
+
+    def _own_routes(self) -> list[Any]:
+        ready = (self._forwarding.ready_path, _ReadyHandler, {"node": self})
+        return [ready, *self._tracing.http_routes()]
+
+    def _build_services(self, dialects: ForwardingDialects) -> None:
+        settings, forwarding = self._settings, self._forwarding
+        self._tracing = TracingService(
+            self._member, self._random, self._clock, wall_now, self.process.peers.send, log=log
+        )
+        self._service = ForwardingService(
+            self._member,
+            ZoneName(settings.zone),
+            ForwardingTerms(
+                RetryTerms(
+                    forwarding.retry_ratio, forwarding.retry_slack, forwarding.retry_window_s
+                ),
+                ColdTerms(forwarding.cold_factor, forwarding.cold_slack),
+            ),
+            dialects.forwarding,
+            self._tracing.recorder,
+            self._random,
+            self._clock,
+            self._report_soon,
+            settings.address_map,
+            forwarding.policies,
+        )
+        self.process.router.add_service("tracing", self._tracing.handle_message)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may come.
+
+        A started node must be fresh once; after that it serves by what it holds, also while it is
+        cut off from the cores: its callers have nobody else.
+        """
+        if self._service.is_closing:
+            return False
+        if not self._was_ready:
+            world = self._service.world
+            has_all = world.document.number > 0 and world.has_directory
+            self._was_ready = has_all and self.machine.ready(self._clock())
+        return self._was_ready
+
+    # --- news from control ----------------------------------------------------------------
+
+    def _after_input(self) -> None:
+        """Bring what was delivered into force before the next message leaves."""
+        changes = self.machine.take_changes()
+        try:
+            if INTENT_KEY in changes.keys:
+                rows = self.machine.intent()
+                self._service.apply_document(self._documents.update(rows.version, rows.rows))
+            if LISTED_TOPIC in changes.topics:
+                listed = self.machine.topic(LISTED_TOPIC)
+                self._service.apply_directory(
+                    self._directory.update(listed.epoch, listed.version, listed.rows)
+                )
+            if RESIDENCY_TOPIC in changes.topics:
+                told = self.machine.topic(RESIDENCY_TOPIC)
+                self._service.apply_residencies(self._residencies.update(told.rows))
+            if MOVES_TOPIC in changes.topics:
+                self._apply_moves()
+        except ZincvaleError as error:
+            log(log_events.INTENT_UNREADABLE, problem=str(error))
+        if changes.members:
+            members = self.machine.members(self._clock())
+            self._tracing.apply_members(members)
+            self._service.apply_members(members)
+
+    def _apply_moves(self) -> None:
+        moves = [decode_move(row) for row in self.machine.topic(MOVES_TOPIC).rows.values()]
+        if self._service.apply_closing(closing_by_server(moves)):
+            # The leader waits for reports made after the mark.
+            self._report_soon()
+
+    # --- time -----------------------------------------------------------------------------
+
+    def _tick(self) -> None:
+        now = self._clock()
+        self._tracing.tick(now)
+        if now >= self._demand_due_at:
+            self._report_demand()
+
+    def _report_soon(self) -> None:
+        if not self._demand_urgent:
+            self._demand_urgent = True
+            IOLoop.current().add_callback(self._report_demand)
+
+    def _report_demand(self) -> None:
+        self._demand_urgent = False
+        self._demand_due_at = self._clock() + DEMAND_INTERVAL_S
+        report = self._service.demand_report()
+        for member, row in self.machine.members(self._clock()).rows.items():
+            if row.role is Role.CORE:
+                self.process.peers.send(member, report)
+
+    def _start_draining(self) -> None:
+        self._drain_began_at = self._clock()
+        self._service.is_closing = True
+        self._tracing.leave()
+
+    def _is_drained(self) -> bool:
+        noticed = self._clock() - self._drain_began_at >= LAME_DUCK_S
+        return noticed and not self._service.active_requests
+
+
+class _ReadyHandler(RequestHandler):
+    """The platform's question whether the node takes callers."""
+
+    def initialize(self, node: ForwardingNode) -> None:
+        """Take the node to answer for."""
+        self.node = node
+
+    def get(self) -> None:
+        """Answer 200 when ready, else 503."""
+        self.set_status(200 if self.node.is_ready else 503)
+        self.finish()
+
+
+def _ignore_request(handler: Any) -> None:
+    """Write no access log: the record is kept by traces."""
--- /dev/null
+++ b/src/zincvale/daemons/forwarding_seams.py
@@ -0,0 +1,47 @@
+"""What a forwarding deployment speaks with its surroundings: one object with every dialect."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import attrs
+
+from zincvale.controlplane.document_api import OperatorDialect
+from zincvale.controlplane.listed_servers import ListedServer
+from zincvale.daemons.http_fetch import FetchResult
+from zincvale.daemons.server_orders import ServerOrders
+from zincvale.dataplane.forwarding.dialect import ForwardingDialect
+
+
+@attrs.frozen
+class ListPage:
+    """One page of the list of servers; `next_page` is empty on the last one."""
+
+    servers: list[ListedServer]
+    next_page: str = ""
+
+
+class ServerListDialect(Protocol):
+    """How the list of servers is read."""
+
+    def list_path(self, page: str) -> str:
+        """Return the path of a page; the first one has an empty name."""
+        ...
+
+    def read_page(self, body: bytes) -> ListPage:
+        """Return a page; raises `MalformedBody`."""
+        ...
+
+    def is_throttled(self, result: FetchResult) -> bool:
+        """Whether the list was asked too often."""
+        ...
+
+
+@attrs.frozen
+class ForwardingDialects:
+    """Every dialect of one deployment."""
+
+    forwarding: ForwardingDialect
+    operators: OperatorDialect
+    server_list: ServerListDialect
+    orders: ServerOrders
--- /dev/null
+++ b/src/zincvale/daemons/forwarding_timings.py
@@ -0,0 +1,27 @@
+"""Durations of the coordination machines in a forwarding deployment.
+
+A replaced core must bear the next loss soon after it came, so learners replace silent replicas
+quickly and leader leases are short: the replicas from before a change are given up only when every
+lease they granted has run out.
+"""
+
+from __future__ import annotations
+
+from zincvale.coordination.config import Timings
+
+ROLE_LEASE_S = 2.0
+ROLE_MARGIN_S = 0.4
+ROLE_RENEW_S = 0.5
+REPLACE_DELAY_S = 1.2
+BOOTSTRAP_LISTEN_S = 0.5
+
+
+def forwarding_timings() -> Timings:
+    """Return the durations."""
+    return Timings(
+        role_lease_s=ROLE_LEASE_S,
+        role_margin_s=ROLE_MARGIN_S,
+        role_renew_s=ROLE_RENEW_S,
+        replace_delay_s=REPLACE_DELAY_S,
+        bootstrap_listen_s=BOOTSTRAP_LISTEN_S,
+    )
--- a/src/zincvale/daemons/http_fetch.py
+++ b/src/zincvale/daemons/http_fetch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -10,7 +11,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
-from zincvale.runtime.settings import split_address
+from zincvale.model.addresses import split_address
 from zincvale.transport.peer_client import CURL_COULD_NOT_CONNECT
 
 MAX_CONCURRENT_FETCHES = 256
@@ -44,19 +45,26 @@
 
     async def get(self, address: str, path: str, timeout_s: float) -> FetchResult:
         """Return the answer to `GET path`."""
-        return await self._fetch(address, path, "GET", None, timeout_s)
+        return await self.call(address, "GET", path, None, {}, timeout_s)
 
     async def post(
         self, address: str, path: str, body: dict[str, object], timeout_s: float
     ) -> FetchResult:
         """Return the answer to `POST path` with a JSON body."""
-        return await self._fetch(address, path, "POST", orjson.dumps(body), timeout_s)
+        return await self.call(address, "POST", path, orjson.dumps(body), {}, timeout_s)
 
-    async def _fetch(
-        self, address: str, path: str, method: str, body: bytes | None, timeout_s: float
+    async def call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: Mapping[str, str],
+        timeout_s: float,
     ) -> FetchResult:
+        """Return the answer to a call with further headers; a body is JSON."""
         dialled = self._address_map.get(address, address)
-        headers = dict(self._headers)
+        headers = {**self._headers, **headers}
         if body is not None:
             headers["Content-Type"] = "application/json"
         request = HTTPRequest(
--- /dev/null
+++ b/src/zincvale/daemons/list_runner.py
@@ -0,0 +1,125 @@
+"""Runs the leaderless directory: reads the list of servers and publishes what it shows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from tornado.ioloop import IOLoop
+
+from zincvale.controlplane.listed_servers import (
+    AnnounceRead,
+    FetchList,
+    ListedServer,
+    ListedServers,
+    ListRead,
+    PublishServers,
+    ServersSeen,
+)
+from zincvale.coordination.changes import TopicView
+from zincvale.coordination.messages import TopicPublished
+from zincvale.daemons.forwarding_seams import ServerListDialect
+from zincvale.daemons.http_fetch import HttpFetcher
+from zincvale.model.errors import MalformedBody
+from zincvale.model.forwarding import ForwardingDocument
+from zincvale.model.identifiers import MemberId
+from zincvale.model.machine import Log
+from zincvale.runtime.driver import MachineDriver
+from zincvale.runtime.logs import log
+
+LIST_TIMEOUT_S = 1.0
+MAX_PAGES = 200
+HTTP_OK = 200
+
+
+class ListRunner:
+    """Feeds the machine and carries out its effects.
+
+    Parameters
+    ----------
+    send_to_cores : sends a one-way message to every other core.
+    on_seen : takes what was seen of the servers.
+    """
+
+    def __init__(
+        self,
+        machine: ListedServers,
+        dialect: ServerListDialect,
+        fetcher: HttpFetcher,
+        address: str,
+        driver: MachineDriver,
+        clock: Callable[[], float],
+        send_to_cores: Callable[[Any], None],
+        on_seen: Callable[[ServersSeen], None],
+    ) -> None:
+        self.machine = machine
+        self._dialect = dialect
+        self._fetcher = fetcher
+        self._address = address
+        self._driver = driver
+        self._clock = clock
+        self._send_to_cores = send_to_cores
+        self._on_seen = on_seen
+
+    def document_changed(self, document: ForwardingDocument) -> None:
+        """Take a newer document."""
+        self._carry_out(self.machine.document_changed(document, self._clock()))
+
+    def topic_changed(self, view: TopicView) -> None:
+        """Take what a core published."""
+        self._carry_out(self.machine.published(view, self._clock()))
+
+    def message_received(self, sender: MemberId, message: Any) -> None:
+        """Take another core's word that it read the list."""
+        if isinstance(message, ListRead):
+            self.machine.read_heard(message, self._clock())
+
+    def tick(self, rank: int, now: float) -> None:
+        """Read when it is this core's turn."""
+        if self._address:
+            self._carry_out(self.machine.tick(rank, now))
+
+    def _carry_out(self, effects: list[Any]) -> None:
+        for effect in effects:
+            match effect:
+                case FetchList():
+                    IOLoop.current().add_callback(self._read)
+                case PublishServers():
+                    IOLoop.current().add_callback(self._publish, effect)
+                case AnnounceRead(message):
+                    self._send_to_cores(message)
+                case ServersSeen():
+                    self._on_seen(effect)
+                case Log(number, fields):
+                    log(number, **fields)
+
+    async def _read(self) -> None:
+        asked_at = self._clock()
+        servers: list[ListedServer] = []
+        page = ""
+        for _ in range(MAX_PAGES):
+            result = await self._fetcher.get(
+                self._address, self._dialect.list_path(page), LIST_TIMEOUT_S
+            )
+            if result.status != HTTP_OK:
+                throttled = self._dialect.is_throttled(result)
+                self._failed(result.error or f"status {result.status}", throttled)
+                return
+            try:
+                read = self._dialect.read_page(result.body)
+            except MalformedBody as error:
+                self._failed(str(error), False)
+                return
+            servers.extend(read.servers)
+            page = read.next_page
+            if not page:
+                break
+        self._carry_out(self.machine.list_read(servers, asked_at, self._clock()))
+
+    def _failed(self, why: str, throttled: bool) -> None:
+        self._carry_out(self.machine.list_failed(why, throttled, self._clock()))
+
+    async def _publish(self, effect: PublishServers) -> None:
+        reply = await self._driver.call_local(effect.message)
+        if isinstance(reply, TopicPublished) and not reply.accepted:
+            self.machine.publication_refused(reply.epoch)
--- a/src/zincvale/daemons/node_daemon.py
+++ b/src/zincvale/daemons/node_daemon.py
@@ -11,10 +11,10 @@
 from zincvale.controlplane.directory_rows import DIRECTORY_TOPIC, DirectoryDecoder
 from zincvale.controlplane.intent_rows import IntentDecoder
 from zincvale.controlplane.placement.move_rows import closing_by_server, decode_move
-from zincvale.coordination.config import NodeConfig
 from zincvale.coordination.node_machine import NodeMachine
 from zincvale.coordination.replica_sets import INTENT_KEY, REGISTRY_KEY
 from zincvale.daemons.closing import with_closing
+from zincvale.daemons.core_assembly import node_config
 from zincvale.daemons.core_view import MOVES_TOPIC
 from zincvale.daemons.process import Drain, build_process
 from zincvale.daemons.registry_rows import registered_zones
@@ -22,7 +22,7 @@
 from zincvale.dataplane.node_service import NodeService
 from zincvale.dataplane.stream_journal import StreamJournalService
 from zincvale.model.errors import ZincvaleError
-from zincvale.model.identifiers import Address, MemberId, ZoneName
+from zincvale.model.identifiers import MemberId, ZoneName
 from zincvale.model.view import Directory, Role
 from zincvale.runtime import log_events
 from zincvale.runtime.clock import suspend_aware_now, wall_now
@@ -60,7 +60,7 @@
         self._first_fresh_at: float | None = None
         self._claims_began = False
         self._drain_began_at = 0.0
-        self.machine = NodeMachine(_node_config(settings, incarnation), self._random, self._clock())
+        self.machine = NodeMachine(node_config(settings, incarnation), self._random, self._clock())
         self.process = build_process(
             settings,
             incarnation,
@@ -215,18 +215,5 @@
         return noticed and not self._service.active_requests and self._tracing.is_idle
 
 
-def _node_config(settings: DaemonSettings, incarnation: str) -> NodeConfig:
-    return NodeConfig(
-        cluster_id=settings.cluster_id,
-        member=MemberId(settings.member_id),
-        incarnation=incarnation,
-        zone=ZoneName(settings.zone),
-        region=settings.region,
-        api_address=Address(settings.api_address),
-        peer_address=Address(settings.peer_address),
-        seeds=tuple(Address(seed) for seed in settings.seeds),
-    )
-
-
 def _ignore_request(handler: Any) -> None:
     """Write no access log: the record is kept by traces."""
--- a/src/zincvale/daemons/placement_runner.py
+++ b/src/zincvale/daemons/placement_runner.py
@@ -1,14 +1,15 @@
-"""Runs the placement controller: orders to servers, status questions, the moves topic."""
+"""Runs the placement controller: orders to servers, status questions, the published topics."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+from tornado import gen
 from tornado.ioloop import IOLoop
 from tornado.queues import Queue
 
-from zincvale.controlplane.backend_status import STATUS_PATH, read_server_status
 from zincvale.controlplane.placement.controller import PlacementController
 from zincvale.controlplane.placement.events import (
     AskStatus,
@@ -29,11 +30,16 @@
 )
 from zincvale.controlplane.placement.items import ItemKind
 from zincvale.controlplane.placement.move_rows import topic_rows
-from zincvale.controlplane.server_entries import observed_row
 from zincvale.coordination.messages import PublishTopic
 from zincvale.daemons.core_view import MOVES_TOPIC
 from zincvale.daemons.http_fetch import FetchResult, HttpFetcher
 from zincvale.daemons.order_spans import OrderSpans
+from zincvale.daemons.server_orders import (
+    NativeServerOrders,
+    OrderReply,
+    ServerOrders,
+    StatusReading,
+)
 from zincvale.daemons.topic_publisher import TopicPublisher
 from zincvale.model.errors import MalformedBody
 from zincvale.model.identifiers import ServerId
@@ -45,38 +51,49 @@
 ORDER_TIMEOUT_S = 2.0
 """Below the controller's order lifetime, so that no order arrives after it was given up."""
 STATUS_TIMEOUT_S = 1.0
-HTTP_OK = 200
-HTTP_ACCEPTED = 202
-HTTP_NOT_FOUND = 404
-HTTP_CONFLICT = 409
-HTTP_STALE_EPOCH = 412
-HTTP_BUSY = 503
+FIRST_LOOK_PART = 0.97
+"""Part of a load's expected time after which the server is asked whether it is done."""
+SHORT_ORDER_S = 0.008
+FIRST_STEP_S = 0.015
+LONGEST_STEP_S = 0.06
+CONFIRM_LIMIT_S = 30.0
 
 RowOf = Callable[[ServerId], ServerRow | None]
+ExpectedLoad = Callable[[Order], float]
+
+
+def _no_expectation(order: Order) -> float:
+    return 0.0
 
 
+@attrs.define
 class PlacementRunner:
-    """Feeds the placement controller and carries out its effects."""
-
-    def __init__(
-        self,
-        controller: PlacementController,
-        fetcher: HttpFetcher,
-        publisher: TopicPublisher,
-        clock: Callable[[], float],
-        wall_clock: Callable[[], float],
-        row_of: RowOf,
-        spans: OrderSpans,
-    ) -> None:
-        self._controller = controller
-        self._fetcher = fetcher
-        self._publisher = publisher
-        self._clock = clock
-        self._wall_clock = wall_clock
-        self._row_of = row_of
-        self._spans = spans
-        self._publications: Queue[PublishTopic] = Queue()
-        self.epoch = 0
+    """Feeds the placement controller and carries out its effects.
+
+    Parameters
+    ----------
+    row_of : the directory's row of a server.
+    orders : how servers take orders.
+    holder : the name under which this process gives orders.
+    expected_load_s : how long a load of a model should take.
+    on_effects : called with the servers whose holdings may have changed.
+    """
+
+    _controller: PlacementController
+    _fetcher: HttpFetcher
+    _publisher: TopicPublisher
+    _clock: Callable[[], float]
+    _wall_clock: Callable[[], float]
+    _row_of: RowOf
+    _spans: OrderSpans
+    _orders: ServerOrders = attrs.field(factory=NativeServerOrders)
+    _holder: str = ""
+    _expected_load_s: ExpectedLoad = _no_expectation
+    _on_touched: Callable[[ServerId], None] = lambda server: None
+    epoch: int = 0
+    _publications: Queue[PublishTopic] = attrs.field(factory=Queue)
+    _sequences: dict[ServerId, int] = attrs.field(factory=dict)
+    _carried_out: dict[ServerId, Order] = attrs.field(factory=dict)
 
     def start(self) -> None:
         """Start the loop that publishes moves in order."""
@@ -87,6 +104,10 @@
         for effect in self._controller.handle(event, self._clock()):
             self._carry_out(effect)
 
+    def publish(self, message: PublishTopic) -> None:
+        """Publish in order with the moves."""
+        self._publications.put_nowait(message)
+
     def _carry_out(self, effect: Any) -> None:
         match effect:
             case SendOrder():
@@ -100,6 +121,7 @@
             case OrderRecorded():
                 self._spans.order_sent(effect)
             case CompletionRecorded():
+                self._on_touched(effect.server)
                 self._spans.order_completed(effect)
             case Log(number, fields):
                 log(number, **fields)
@@ -114,66 +136,111 @@
         async for message in self._publications:
             await self._publisher.publish(message)
 
+    # --- orders ---------------------------------------------------------------------------
+
     async def _send_order(self, effect: SendOrder) -> None:
         order = effect.order
-        if not self._publisher.guard.may_act(order.epoch) or self._clock() >= effect.not_after:
+        row = self._row_of(effect.server)
+        if not self._may_send(effect) or row is None:
             log(log_events.ORDER_FENCED, order_id=order.order_id, server=effect.server)
             self.feed(OrderRefused(order.order_id, OrderRefusal.WITHHELD))
             return
-        result = await self._fetcher.post(
-            effect.address, _order_path(order), _order_body(order), ORDER_TIMEOUT_S
+        self._carried_out[effect.server] = order
+        reply = await self._give(effect, row, self._sequences.get(effect.server))
+        if reply is OrderReply.TAKEN and effect.server in self._sequences:
+            self._sequences[effect.server] += 1
+        if reply is not OrderReply.TAKEN:
+            self._carried_out.pop(effect.server, None)
+        self._feed_reply(order, reply)
+        if reply is OrderRefusal.BUSY and self._orders.confirms_by_repeating:
+            await self._ask_status(AskStatus(effect.server, effect.address))
+        if reply is OrderReply.TAKEN and self._orders.confirms_by_repeating:
+            await self._confirm(effect, row)
+
+    async def _give(
+        self, effect: SendOrder, row: ServerRow, sequence: int | None
+    ) -> OrderReply | OrderRefusal:
+        call = self._orders.order_call(effect.order, row, self._holder, sequence)
+        result = await self._fetcher.call(
+            effect.address, "POST", call.path, call.body, call.headers, ORDER_TIMEOUT_S
         )
-        self.feed(_order_answer(order, result))
+        return self._orders.order_reply(effect.order, result)
+
+    def _may_send(self, effect: SendOrder) -> bool:
+        may_act = self._publisher.guard.may_act(effect.order.epoch)
+        return may_act and self._clock() < effect.not_after
+
+    def _feed_reply(self, order: Order, reply: OrderReply | OrderRefusal) -> None:
+        match reply:
+            case OrderReply.TAKEN:
+                self.feed(OrderAccepted(order.order_id))
+            case OrderReply.DONE:
+                self.feed(OrderAccepted(order.order_id, done=True))
+            case OrderReply.UNKNOWN:
+                self.feed(OrderUnknown(order.order_id))
+            case OrderRefusal():
+                self.feed(OrderRefused(order.order_id, reply))
+
+    async def _confirm(self, effect: SendOrder, row: ServerRow) -> None:
+        """Send an order again until the server says that it holds: its own reports lag."""
+        order = effect.order
+        began_at = self._clock()
+        await gen.sleep(self._first_look_s(order))
+        step_s = FIRST_STEP_S
+        while self._clock() - began_at < CONFIRM_LIMIT_S:
+            if not self._publisher.guard.may_act(order.epoch):
+                return
+            reply = await self._give(effect, row, None)
+            if reply is OrderReply.DONE:
+                self._carried_out.pop(effect.server, None)
+                self._feed_reply(order, reply)
+                return
+            if reply not in (OrderRefusal.BUSY, OrderReply.TAKEN):
+                break
+            await gen.sleep(step_s)
+            step_s = min(LONGEST_STEP_S, step_s * 1.5)
+        self._carried_out.pop(effect.server, None)
+        self.feed(OrderUnknown(order.order_id))
+
+    def _first_look_s(self, order: Order) -> float:
+        if order.action is OrderAction.LOAD and order.item_kind is ItemKind.MODEL:
+            return max(SHORT_ORDER_S, self._expected_load_s(order) * FIRST_LOOK_PART)
+        return SHORT_ORDER_S
+
+    # --- statuses -------------------------------------------------------------------------
 
     async def _ask_status(self, effect: AskStatus) -> None:
-        asked_at = self._clock()
-        result = await self._fetcher.get(effect.address, STATUS_PATH, STATUS_TIMEOUT_S)
         row = self._row_of(effect.server)
-        if result.status != HTTP_OK or row is None:
+        if row is None:
             return
-        try:
-            status = read_server_status(result.body)
-        except MalformedBody:
+        asked_at = self._clock()
+        call = self._orders.status_call(row)
+        result = await self._fetcher.call(
+            effect.address, "GET", call.path, None, call.headers, STATUS_TIMEOUT_S
+        )
+        reading = self._read(row, result)
+        if reading is None:
             return
-        if status.server != effect.server:
+        if reading.sequence is not None:
+            self._sequences[effect.server] = reading.sequence
+        own = self._carried_out.get(effect.server)
+        if reading.is_busy and own is None:
+            # Somebody else's order is under way: nothing can be told from this status.
             return
-        observed = observed_row(row, status)
-        self.feed(DirectoryChanged((StatusReport(observed, asked_at, status.unloading),)))
-
-
-def _order_path(order: Order) -> str:
-    kind = "models" if order.item_kind is ItemKind.MODEL else "adapters"
-    return f"/v1/{kind}/{order.action.value}"
-
-
-def _order_body(order: Order) -> dict[str, object]:
-    body: dict[str, object] = {"order_id": order.order_id, "epoch": order.epoch}
-    if order.item_kind is ItemKind.MODEL:
-        body["model"] = order.name
-    else:
-        body["adapter"] = order.name
-    if order.action is OrderAction.LOAD:
-        body["bytes"] = order.item_bytes
-        body["store"] = order.store_address
-        if order.item_kind is ItemKind.ADAPTER:
-            body["base_model"] = order.base_model
-    return body
-
-
-def _order_answer(order: Order, result: FetchResult) -> Input:
-    """Return what the controller may rely on: only a proven refusal frees a reservation."""
-    order_id = order.order_id
-    if result.status in (HTTP_OK, HTTP_ACCEPTED):
-        return OrderAccepted(order_id)
-    if not result.connected:
-        return OrderRefused(order_id, OrderRefusal.NOT_CONNECTED)
-    if result.status == HTTP_CONFLICT:
-        is_base = b"base-model" in result.body
-        return OrderRefused(order_id, OrderRefusal.BASE_MODEL if is_base else OrderRefusal.MEMORY)
-    if result.status == HTTP_BUSY:
-        return OrderRefused(order_id, OrderRefusal.BUSY)
-    if result.status == HTTP_STALE_EPOCH:
-        return OrderRefused(order_id, OrderRefusal.STALE_EPOCH)
-    if result.status == HTTP_NOT_FOUND and order.action is OrderAction.UNLOAD:
-        return OrderRefused(order_id, OrderRefusal.NOT_HELD)
-    return OrderUnknown(order_id)
+        self.feed(DirectoryChanged((_report(reading, own, asked_at),)))
+
+    def _read(self, row: ServerRow, result: FetchResult) -> StatusReading | None:
+        try:
+            return self._orders.read_status(row, result)
+        except MalformedBody:
+            return None
+
+
+def _report(reading: StatusReading, own: Order | None, asked_at: float) -> StatusReport:
+    """Return the reading as the controller's input; what is ordered counts as on its way."""
+    row, unloading = reading.row, reading.unloading
+    if own is not None and own.action is OrderAction.LOAD:
+        row = attrs.evolve(row, loading=row.loading | {own.name})
+    elif own is not None:
+        unloading = unloading | {own.name}
+    return StatusReport(row, asked_at - reading.age_s, unloading)
--- a/src/zincvale/daemons/process.py
+++ b/src/zincvale/daemons/process.py
@@ -38,6 +38,10 @@
 NO_DRAIN = Drain(lambda: None, lambda: True, 0.0)
 
 
+def _no_reload() -> None:
+    """Settings are read once."""
+
+
 @attrs.define
 class DaemonProcess:
     """The plumbing of one daemon around its coordination machine."""
@@ -49,16 +53,28 @@
     server: PeerServer
     peers: PeerClient
     _clock: Callable[[], float]
+    on_reload: Callable[[], None] = _no_reload
+    """Called on SIGHUP: the settings file may have changed."""
     _http_servers: list[HTTPServer] = attrs.field(factory=list)
 
     def listen(self, api: Application) -> None:
         """Bind both addresses; raises `StartFailed`."""
         settings = self.settings
-        peer_application = self.server.application()
-        self._http_servers = [
-            listen(api, settings.api_address, "api_address", MAX_API_BODY_BYTES),
-            listen(peer_application, settings.peer_address, "peer_address", MAX_PEER_BODY_BYTES),
-        ]
+        self._http_servers.append(
+            listen(api, settings.api_address, "api_address", MAX_API_BODY_BYTES)
+        )
+        self.listen_peers()
+
+    def listen_peers(self) -> None:
+        """Bind the peer address alone; raises `StartFailed`."""
+        self._http_servers.append(
+            listen(
+                self.server.application(),
+                self.settings.peer_address,
+                "peer_address",
+                MAX_PEER_BODY_BYTES,
+            )
+        )
 
     def run(self, drain: Drain) -> None:
         """Serve until SIGTERM or SIGINT, then drain."""
@@ -71,6 +87,10 @@
         def on_signal(number: int, frame: Any) -> None:
             loop.add_callback_from_signal(self._begin_drain, drain)
 
+        def on_hang_up(number: int, frame: Any) -> None:
+            loop.add_callback_from_signal(self.on_reload)
+
+        signal.signal(signal.SIGHUP, on_hang_up)
         signal.signal(signal.SIGTERM, on_signal)
         signal.signal(signal.SIGINT, on_signal)
         log(
--- /dev/null
+++ b/src/zincvale/daemons/residency_rows.py
@@ -0,0 +1,55 @@
+"""Rows of the topic `residency`: what the placement leader knows each server to hold."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import orjson
+
+from zincvale.controlplane.placement.items import ItemKind
+from zincvale.controlplane.placement.servers import HoldingState, ServerState
+from zincvale.dataplane.forwarding.servers import Residency
+from zincvale.model.identifiers import ServerId
+
+RESIDENCY_TOPIC = "residency"
+
+
+def encode_residency(server: ServerState) -> bytes:
+    """Return the row of a server in placement's table."""
+    held: dict[str, list[str]] = {ItemKind.MODEL.value: [], ItemKind.ADAPTER.value: []}
+    for key, holding in server.holdings.items():
+        kind, _, name = key.partition("/")
+        if holding.state is HoldingState.LOADED:
+            held[kind].append(name)
+    return orjson.dumps(
+        {
+            "incarnation": server.incarnation,
+            "models": sorted(held[ItemKind.MODEL.value]),
+            "adapters": sorted(held[ItemKind.ADAPTER.value]),
+        }
+    )
+
+
+class ResidencyDecoder:
+    """Keeps the typed rows of the topic; decodes only rows that changed."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, bytes] = {}
+        self._residencies: dict[ServerId, Residency] = {}
+
+    def update(self, rows: Mapping[str, bytes]) -> dict[ServerId, Residency]:
+        """Return what each server holds."""
+        known = self._residencies
+        self._residencies = {
+            ServerId(server): known[ServerId(server)]
+            if self._rows.get(server) == content
+            else _decode(content)
+            for server, content in rows.items()
+        }
+        self._rows = dict(rows)
+        return self._residencies
+
+
+def _decode(content: bytes) -> Residency:
+    plain = orjson.loads(content)
+    return Residency(plain["incarnation"], frozenset(plain["models"]), frozenset(plain["adapters"]))
--- /dev/null
+++ b/src/zincvale/dataplane/forwarding/dialect.py
@@ -0,0 +1,97 @@
+"""How callers and servers speak: the seam between forwarding and the names on the wire.
+
+Forwarding decides on typed facts only. A dialect reads them from heads and writes them into heads;
+it decides nothing. `native_dialect` is the product's own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Protocol
+
+import attrs
+
+
+@attrs.frozen
+class PromptPart:
+    """A part of a prompt that may be shared with other requests, and its tokens."""
+
+    part_id: str
+    tokens: int
+
+
+@attrs.frozen
+class Prompt:
+    """What a request asks of a language-model engine.
+
+    Attributes
+    ----------
+    model, adapter : what must be resident; the adapter is empty for the base model.
+    input_tokens, output_tokens : length of the prompt, and the most that may be generated.
+    parts : the prompt's parts in order; the last one is the request's own.
+    """
+
+    model: str
+    adapter: str = ""
+    input_tokens: int = 0
+    output_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
+
+
+@attrs.frozen
+class CallerFacts:
+    """What a caller's head says.
+
+    Attributes
+    ----------
+    request_id : empty when the caller named none.
+    deadline_s : how long the caller will wait; None when it did not say.
+    last_event_id : the event after which a stream is to go on; empty from its beginning.
+    """
+
+    request_id: str
+    deadline_s: float | None = None
+    prompt: Prompt | None = None
+    last_event_id: str = ""
+
+
+@attrs.frozen
+class SendFacts:
+    """What forwarding says to a server beyond what the caller said."""
+
+    incarnation: str
+    deadline_s: float
+    urgency: int
+    last_event_id: str
+
+
+@attrs.frozen
+class AnswerFacts:
+    """What a server's head says.
+
+    Attributes
+    ----------
+    request_id : the request that the answer belongs to; empty when it is not said.
+    never_ran : proof that the request did not run and never will.
+    misdirected : the server is another one than expected, or lacks what was asked for.
+    """
+
+    request_id: str
+    never_ran: bool = False
+    misdirected: bool = False
+
+
+class ForwardingDialect(Protocol):
+    """Names and formats of callers and servers."""
+
+    def caller_facts(self, headers: Mapping[str, str]) -> CallerFacts:
+        """Read a caller's head (names in lower case); what cannot be read counts as not said."""
+        ...
+
+    def sent_headers(self, facts: SendFacts) -> dict[str, str]:
+        """Return the headers that replace the caller's of the same names."""
+        ...
+
+    def answer_facts(self, status: int, headers: Mapping[str, str]) -> AnswerFacts:
+        """Read a server's head; header names are in lower case."""
+        ...
--- /dev/null
+++ b/src/zincvale/dataplane/forwarding/heads.py
@@ -0,0 +1,46 @@
+"""Headers on their way through: what concerns only one connection stays behind."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from zincvale.transport.server_exchange import HeaderList
+
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+REQUEST_FRAMING = frozenset({"content-length", "expect"})
+
+
+def passed_on(headers: Iterable[tuple[str, str]], dropped: frozenset[str]) -> HeaderList:
+    """Return the headers without those of one connection and those in `dropped`."""
+    kept = list(headers)
+    named = {
+        name.strip().lower()
+        for header, value in kept
+        if header.lower() == "connection"
+        for name in value.split(",")
+    }
+    left_out = CONNECTION_HEADERS | dropped | named
+    return [(name, value) for name, value in kept if name.lower() not in left_out]
+
+
+def to_server(headers: Iterable[tuple[str, str]], added: Mapping[str, str]) -> HeaderList:
+    """Return a caller's headers for a server; `added` replaces those of the same names."""
+    replaced = REQUEST_FRAMING | {name.lower() for name in added}
+    return [*passed_on(headers, replaced), *added.items()]
+
+
+def to_caller(headers: Iterable[tuple[str, str]], is_stream: bool) -> HeaderList:
+    """Return a server's headers for the caller; a stream is framed anew."""
+    return passed_on(headers, frozenset({"content-length"}) if is_stream else frozenset())
--- /dev/null
+++ b/src/zincvale/dataplane/forwarding/native_dialect.py
@@ -0,0 +1,92 @@
+"""The product's own names of forwarding: the first implementation of the dialect."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from zincvale.dataplane.forwarding.dialect import (
+    AnswerFacts,
+    CallerFacts,
+    Prompt,
+    PromptPart,
+    SendFacts,
+)
+
+REQUEST_ID = "x-request-id"
+DEADLINE_MS = "x-deadline-ms"
+MODEL = "x-zincvale-model"
+TOKENS = "x-zincvale-tokens"
+PARTS = "x-zincvale-prompt-parts"
+LAST_EVENT_ID = "last-event-id"
+INCARNATION = "x-zincvale-incarnation"
+URGENCY = "x-zincvale-urgency"
+NEVER_RAN = "x-zincvale-never-ran"
+MISDIRECTED_STATUS = 421
+MS_PER_S = 1000.0
+
+
+class NativeDialect:
+    """Implements `ForwardingDialect`."""
+
+    def caller_facts(self, headers: Mapping[str, str]) -> CallerFacts:
+        """Read a caller's head."""
+        deadline_ms = _number(headers.get(DEADLINE_MS, ""))
+        return CallerFacts(
+            request_id=headers.get(REQUEST_ID, ""),
+            deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
+            prompt=_prompt(headers),
+            last_event_id=headers.get(LAST_EVENT_ID, ""),
+        )
+
+    def sent_headers(self, facts: SendFacts) -> dict[str, str]:
+        """Return the headers added for a server."""
+        headers = {
+            DEADLINE_MS: str(max(1, int(facts.deadline_s * MS_PER_S))),
+            INCARNATION: facts.incarnation,
+            URGENCY: str(facts.urgency),
+        }
+        if facts.last_event_id:
+            headers[LAST_EVENT_ID] = facts.last_event_id
+        return headers
+
+    def answer_facts(self, status: int, headers: Mapping[str, str]) -> AnswerFacts:
+        """Read a server's head."""
+        misdirected = status == MISDIRECTED_STATUS
+        return AnswerFacts(
+            request_id=headers.get(REQUEST_ID, ""),
+            never_ran=misdirected or NEVER_RAN in headers,
+            misdirected=misdirected,
+        )
+
+
+def _prompt(headers: Mapping[str, str]) -> Prompt | None:
+    name = headers.get(MODEL, "")
+    if not name:
+        return None
+    model, _, adapter = name.partition("/")
+    return prompt_of(model, adapter, headers.get(TOKENS, ""), headers.get(PARTS, ""))
+
+
+def prompt_of(model: str, adapter: str, tokens: str, parts: str) -> Prompt:
+    """Return a prompt from `IN,OUT` and `ID:TOKENS,...`; what cannot be read counts as absent."""
+    counts = [_number(text) or 0.0 for text in tokens.split(",")]
+    output_tokens = int(counts[1]) if len(counts) > 1 else 0
+    return Prompt(model, adapter, int(counts[0]), output_tokens, _parts(parts))
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    found = []
+    for item in text.split(","):
+        part_id, _, tokens = item.strip().rpartition(":")
+        count = _number(tokens)
+        if part_id and count is not None:
+            found.append(PromptPart(part_id, int(count)))
+    return tuple(found)
+
+
+def _number(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if value >= 0 else None
--- /dev/null
+++ b/src/zincvale/dataplane/forwarding/node_context.py
@@ -0,0 +1,145 @@
+"""What the requests of one forwarding node share."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from zincvale.dataplane.demand import DemandKey, DemandTable
+from zincvale.dataplane.forwarding.dialect import ForwardingDialect, Prompt
+from zincvale.dataplane.forwarding.policies import Blocked, Chosen, PolicyChain, Query
+from zincvale.dataplane.forwarding.request_events import FinalKind
+from zincvale.dataplane.forwarding.servers import adapter_name
+from zincvale.dataplane.forwarding.waiting_room import WaitingRoom, Wanted
+from zincvale.dataplane.forwarding.world import ForwardingWorld
+from zincvale.dataplane.interfaces import Spans
+from zincvale.model.forwarding import ForwardRoute
+from zincvale.model.identifiers import AdapterName, ModelName, PoolName, ServerId
+from zincvale.transport.server_client import ServerClient
+
+OnUrgent = Callable[[], None]
+
+
+class ForwardingContext:
+    """Tables, policies, connections and counts of one node.
+
+    Parameters
+    ----------
+    on_urgent : called when a request begins to wait for something that nobody waited for yet.
+    """
+
+    def __init__(
+        self,
+        world: ForwardingWorld,
+        chain: PolicyChain,
+        client: ServerClient,
+        dialect: ForwardingDialect,
+        spans: Spans,
+        random: Random,
+        clock: Callable[[], float],
+        on_urgent: OnUrgent,
+    ) -> None:
+        self.world = world
+        self.client = client
+        self.dialect = dialect
+        self.spans = spans
+        self.clock = clock
+        self.room = WaitingRoom(world.pool)
+        self.demand = DemandTable()
+        self.under_way: set[Any] = set()
+        self.counts: Counter[FinalKind] = Counter()
+        self._chain = chain
+        self._random = random
+        self._on_urgent = on_urgent
+        self._pump_timer: asyncio.TimerHandle | None = None
+
+    def pool_for(self, route: ForwardRoute) -> str:
+        """Draw the pool of one request by the route's weights."""
+        if len(route.split) == 1:
+            return route.split[0].pool
+        weights = [share.weight for share in route.split]
+        return self._random.choices(route.split, weights)[0].pool
+
+    def choose(self, wanted: Wanted) -> Chosen | Blocked:
+        """Return the server for a request now, or why there is none."""
+        return self._chain.choose(
+            Query(
+                wanted.route,
+                wanted.pool,
+                wanted.prompt,
+                self.world,
+                wanted.excluded,
+                self.clock(),
+            )
+        )
+
+    def may_repeat(self, pool: str, now: float) -> bool:
+        """Spend one second send of the pool's budget, if one is left."""
+        return self.world.retry_budget(pool).take(self.world.node_count, now)
+
+    # --- waiting --------------------------------------------------------------------------
+
+    def pump(self) -> None:
+        """Look again at every request that waits, and at the next end of a wait."""
+        if self._pump_timer is not None:
+            self._pump_timer.cancel()
+            self._pump_timer = None
+        if not len(self.room):
+            return
+        now = self.clock()
+        self.room.pump(self.choose, now)
+        next_end = self.room.next_end()
+        if next_end is not None:
+            self._pump_after(min(max(0.0, next_end - now), COLD_LOOK_S))
+
+    def pump_soon(self) -> None:
+        """Look at what waits in a later turn of the loop."""
+        if len(self.room):
+            self._pump_after(0.0)
+
+    def _pump_after(self, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        if self._pump_timer is not None:
+            if self._pump_timer.when() <= loop.time() + delay_s:
+                return
+            self._pump_timer.cancel()
+        self._pump_timer = loop.call_later(delay_s, self.pump)
+
+    # --- demand ---------------------------------------------------------------------------
+
+    def note_request(self, pool: str, prompt: Prompt | None) -> None:
+        """Count a request for placement."""
+        if prompt is not None:
+            self.demand.on_request(_key(pool, prompt))
+
+    def note_waiting(self, pool: str, prompt: Prompt | None, blocked: Blocked, change: int) -> None:
+        """Count a request that begins or stops waiting for a load."""
+        if change > 0:
+            self.pump_soon()
+        if prompt is None or blocked is not Blocked.NOT_RESIDENT:
+            return
+        self.demand.on_waiting(_key(pool, prompt), change)
+        if self.demand.urgent:
+            self._on_urgent()
+
+    def note_sent(self, pool: str, prompt: Prompt | None, server: ServerId) -> None:
+        """Count a request that runs at a server."""
+        if prompt is not None:
+            self.demand.on_dispatched(_key(pool, prompt), server)
+
+    def note_ended(self, pool: str, prompt: Prompt | None, server: ServerId) -> None:
+        """Count a request that no longer runs at a server."""
+        if prompt is not None:
+            self.demand.on_ended(_key(pool, prompt), server, prompt.output_tokens)
+
+
+COLD_LOOK_S = 0.1
+"""How often waiting requests are looked at for what changes with time alone."""
+
+
+def _key(pool: str, prompt: Prompt) -> DemandKey:
+    adapter = AdapterName(adapter_name(prompt.model, prompt.adapter)) if prompt.adapter else None
+    return DemandKey(PoolName(pool), ModelName(prompt.model), adapter)
--- /dev/null
+++ b/src/zincvale/dataplane/forwarding/policies.py
@@ -0,0 +1,292 @@
+"""Routing policies: plug-ins behind one interface that leave servers out and price them.
+
+A `Filter` says which servers a request must not go to, a `Scorer` what sending it there costs, in
+tokens of work. Policies are pure; the time comes with the query.
+"""
+
+from __future__ import annotations
+
+import enum
+import itertools
+from typing import ClassVar
+
+import attrs
+
+from zincvale.dataplane.forwarding.budgets import rendezvous_weight
+from zincvale.dataplane.forwarding.dialect import Prompt
+from zincvale.dataplane.forwarding.servers import ServerState, wanted_names
+from zincvale.dataplane.forwarding.world import ForwardingWorld
+from zincvale.model.forwarding import ForwardRoute
+
+TOKENS_PER_S = 19_000.0
+"""Prompt tokens that a server reads in a second; turns times into tokens of work."""
+OTHER_ZONE_COST = 60.0
+QUEUED_REQUEST_COST = 250.0
+"""Work that a request of this node adds to a server for the ones that come after it."""
+LATENCY_COST_PART = 0.5
+
+
+class Blocked(enum.Enum):
+    """Why no server is left, which tells what to wait for."""
+
+    NO_SERVER = "no-server"
+    NOT_RESIDENT = "not-resident"
+    BUSY = "busy"
+
+
+@attrs.frozen
+class Query:
+    """One routing decision."""
+
+    route: ForwardRoute
+    pool: str
+    prompt: Prompt | None
+    world: ForwardingWorld
+    excluded: frozenset[str]
+    now: float
+
+
+class Filter:
+    """Leaves servers out.
+
+    Attributes
+    ----------
+    blocked : what it means for the request when this filter removes the last server.
+    soft : skipped when it would remove every server: evidence that may be wrong never empties a
+        pool.
+    """
+
+    name: ClassVar[str] = ""
+    blocked: ClassVar[Blocked] = Blocked.NO_SERVER
+    soft: ClassVar[bool] = False
+
+    def keeps(self, query: Query, server: ServerState) -> bool:
+        """Whether the request may go to the server."""
+        raise NotImplementedError
+
+
+class Scorer:
+    """Prices servers."""
+
+    name: ClassVar[str] = ""
+
+    def costs(self, query: Query, servers: list[ServerState]) -> list[float]:
+        """Return the cost of each server."""
+        raise NotImplementedError
+
+
+class NotTried(Filter):
+    """Servers that already refused or failed this request."""
+
+    name = "not-tried"
+    blocked = Blocked.BUSY
+
+    def keeps(self, query: Query, server: ServerState) -> bool:
+        """Whether the server was not tried."""
+        return server.row.incarnation not in query.excluded
+
+
+class Resident(Filter):
+    """Servers that hold the model and adapter."""
+
+    name = "resident"
+    blocked = Blocked.NOT_RESIDENT
+
+    def keeps(self, query: Query, server: ServerState) -> bool:
+        """Whether what the request asks for is there."""
+        return query.prompt is None or server.holds(query.prompt, query.now)
+
+
+class NotPaused(Filter):
+    """Servers that did not fail or refuse a moment ago."""
+
+    name = "not-paused"
+    blocked = Blocked.BUSY
+    soft = True
+
+    def keeps(self, query: Query, server: ServerState) -> bool:
+        """Whether the server is not left alone."""
+        return not server.is_paused(query.now)
+
+
+class WithinColdAllowance(Filter):
+    """Cold servers only within this node's share of what they bear."""
+
+    name = "cold"
+    blocked = Blocked.BUSY
+
+    def keeps(self, query: Query, server: ServerState) -> bool:
+        """Whether the server is warm, or takes one more request."""
+        return not server.is_cold(query.now) or query.world.may_send_cold(server, query.now)
+
+
+class PromptAffinity(Scorer):
+    """The tokens that the server must read: those that no cache is expected to hold.
+
+    The server that a rendezvous hash of the prompt's last shared part names is expected to hold the
+    shared parts, so that all nodes choose alike without talking; what this node sent lately is
+    remembered as well.
+    """
+
+    name = "prompt-affinity"
+
+    def costs(self, query: Query, servers: list[ServerState]) -> list[float]:
+        """Return the tokens to read at each server."""
+        prompt = query.prompt
+        if prompt is None:
+            return [0.0] * len(servers)
+        total = prompt.input_tokens or sum(part.tokens for part in prompt.parts)
+        shared = sum(part.tokens for part in prompt.parts[:-1])
+        home = _home(prompt, servers)
+        return [
+            float(total - (shared if server is home else server.cached_tokens(prompt)))
+            for server in servers
+        ]
+
+
+def _home(prompt: Prompt, servers: list[ServerState]) -> ServerState | None:
+    if len(prompt.parts) < 2:
+        return None
+    key = "/".join((*wanted_names(prompt), prompt.parts[-2].part_id))
+    return max(servers, key=lambda server: rendezvous_weight(server.row.incarnation, key))
+
+
+class LocalLoad(Scorer):
+    """Requests of this node that are at the server, and what they still have to read.
+
+    Other nodes are assumed to load the servers as this one does.
+    """
+
+    name = "local-load"
+
+    def costs(self, query: Query, servers: list[ServerState]) -> list[float]:
+        """Return the work of this node's requests at each server."""
+        return [
+            server.outstanding * QUEUED_REQUEST_COST + server.outstanding_tokens
+            for server in servers
+        ]
+
+
+class MeasuredLatency(Scorer):
+    """How much slower than the fastest server this one answered lately."""
+
+    name = "measured-latency"
+
+    def costs(self, query: Query, servers: list[ServerState]) -> list[float]:
+        """Return the extra time of each server as work."""
+        known = [server.latency_s for server in servers if server.latency_s > 0.0]
+        least = min(known, default=0.0)
+        return [
+            max(0.0, server.latency_s - least) * TOKENS_PER_S * LATENCY_COST_PART
+            for server in servers
+        ]
+
+
+class ZoneDistance(Scorer):
+    """Servers of other zones cost bytes between zones."""
+
+    name = "zone-distance"
+
+    def costs(self, query: Query, servers: list[ServerState]) -> list[float]:
+        """Return the cost of leaving this node's zone."""
+        own = query.world.zone
+        return [0.0 if server.row.zone == own else OTHER_ZONE_COST for server in servers]
+
+
+class ColdServers(Scorer):
+    """Cold servers only when the others are much busier."""
+
+    name = "cold-cost"
+    COST = 4_000.0
+
+    def costs(self, query: Query, servers: list[ServerState]) -> list[float]:
+        """Return the cost of a slow start."""
+        return [self.COST if server.is_cold(query.now) else 0.0 for server in servers]
+
+
+class RoundRobin(Scorer):
+    """Baseline: one server after the other."""
+
+    name = "round-robin"
+
+    def __init__(self) -> None:
+        self._turns = itertools.count()
+
+    def costs(self, query: Query, servers: list[ServerState]) -> list[float]:
+        """Return 0 for the server whose turn it is."""
+        turn = next(self._turns) % max(1, len(servers))
+        return [0.0 if place == turn else 1.0 for place in range(len(servers))]
+
+
+class LeastOutstanding(Scorer):
+    """Baseline: the server with the fewest requests of this node."""
+
+    name = "least-outstanding"
+
+    def costs(self, query: Query, servers: list[ServerState]) -> list[float]:
+        """Return the requests of this node at each server."""
+        return [float(server.outstanding) for server in servers]
+
+
+DEFAULT_FILTERS: tuple[type[Filter], ...] = (NotTried, Resident, NotPaused, WithinColdAllowance)
+DEFAULT_SCORERS: tuple[type[Scorer], ...] = (
+    PromptAffinity,
+    LocalLoad,
+    MeasuredLatency,
+    ZoneDistance,
+    ColdServers,
+)
+BASELINE_SCORERS: tuple[type[Scorer], ...] = (RoundRobin, LeastOutstanding)
+
+
+def scorers_named(names: list[str]) -> list[Scorer]:
+    """Return the scorers of a setting; none named means the default chain."""
+    if not names:
+        return [scorer() for scorer in DEFAULT_SCORERS]
+    known = {scorer.name: scorer for scorer in (*DEFAULT_SCORERS, *BASELINE_SCORERS)}
+    return [known[name]() for name in names]
+
+
+@attrs.frozen
+class Chosen:
+    """The server that a request goes to, and what it is expected to read."""
+
+    server: ServerState
+    tokens: int
+
+
+class PolicyChain:
+    """Applies every filter, then takes the cheapest server."""
+
+    def __init__(self, scorers: list[Scorer]) -> None:
+        self._filters = [policy() for policy in DEFAULT_FILTERS]
+        self._scorers = scorers
+
+    def choose(self, query: Query) -> Chosen | Blocked:
+        """Return the server to send to, or why there is none."""
+        servers = list(query.world.in_service((query.pool,)))
+        if not servers:
+            return Blocked.NO_SERVER
+        for policy in self._filters:
+            kept = [server for server in servers if policy.keeps(query, server)]
+            if not kept and policy.soft:
+                continue
+            if not kept:
+                return policy.blocked
+            servers = kept
+        return self._cheapest(query, servers)
+
+    def _cheapest(self, query: Query, servers: list[ServerState]) -> Chosen:
+        totals = [0.0] * len(servers)
+        for scorer in self._scorers:
+            for place, cost in enumerate(scorer.costs(query, servers)):
+                totals[place] += cost
+        tie = [rendezvous_weight(query.world.member, server.row.incarnation) for server in servers]
+        best = min(range(len(servers)), key=lambda place: (totals[place], tie[place]))
+        return Chosen(servers[best], _tokens_to_read(query.prompt, servers[best]))
+
+
+def _tokens_to_read(prompt: Prompt | None, server: ServerState) -> int:
+    if prompt is None:
+        return 0
+    return max(0, prompt.input_tokens - server.cached_tokens(prompt))
--- /dev/null
+++ b/src/zincvale/dataplane/forwarding/servers.py
@@ -0,0 +1,147 @@
+"""What a node knows of each server: the published row, its residency, and its own evidence."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+
+import attrs
+
+from zincvale.dataplane.forwarding.budgets import ColdAllowance
+from zincvale.dataplane.forwarding.dialect import Prompt
+from zincvale.model.identifiers import ServerId
+from zincvale.model.view import ServerRow
+
+FIRST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 2.0
+REFUSED_PAUSE_S = 0.05
+ABSENT_MEMORY_S = 0.3
+"""How long a server's own word that it lacks something counts against what is published."""
+LATENCY_WEIGHT = 0.2
+REMEMBERED_PARTS = 512
+
+
+@attrs.frozen
+class Residency:
+    """What one incarnation of a server holds."""
+
+    incarnation: str
+    models: frozenset[str]
+    adapters: frozenset[str]
+    """Each as `MODEL/ADAPTER`."""
+
+    def holds(self, prompt: Prompt) -> bool:
+        """Whether the prompt's model and adapter are there."""
+        if prompt.model not in self.models:
+            return False
+        return not prompt.adapter or adapter_name(prompt.model, prompt.adapter) in self.adapters
+
+
+def adapter_name(model: str, adapter: str) -> str:
+    """Return the name of an adapter among those of all models."""
+    return f"{model}/{adapter}"
+
+
+def wanted_names(prompt: Prompt) -> tuple[str, ...]:
+    """Return the names that must be resident for a prompt."""
+    if not prompt.adapter:
+        return (prompt.model,)
+    return (prompt.model, adapter_name(prompt.model, prompt.adapter))
+
+
+@attrs.define(eq=False)
+class ServerState:
+    """One incarnation of a server, as this node sees it.
+
+    Attributes
+    ----------
+    residency : what it holds, by the newest word of the placement leader or of the list.
+    closing : names about to be unloaded there.
+    outstanding : requests of this node that are there now.
+    outstanding_tokens : tokens of these that had to be read when they were sent.
+    cold_until : until when it bears only a few requests.
+    paused_until : left alone after failures.
+    latency_s : moving average from sending to the first answer; 0 when never measured.
+    """
+
+    row: ServerRow
+    residency: Residency
+    closing: frozenset[str] = frozenset()
+    outstanding: int = 0
+    outstanding_tokens: int = 0
+    cold_until: float = -math.inf
+    paused_until: float = -math.inf
+    failures: int = 0
+    latency_s: float = 0.0
+    cold_allowance: ColdAllowance = attrs.field(factory=ColdAllowance)
+    _absent_until: dict[str, float] = attrs.field(factory=dict)
+    _parts: OrderedDict[tuple[str, str], None] = attrs.field(factory=OrderedDict)
+
+    @property
+    def server(self) -> ServerId:
+        """The server's identifier in the directory."""
+        return self.row.server
+
+    def holds(self, prompt: Prompt, now: float) -> bool:
+        """Whether the prompt can run here, as far as known."""
+        if not self.residency.holds(prompt):
+            return False
+        for name in wanted_names(prompt):
+            if name in self.closing or now < self._absent_until.get(name, -math.inf):
+                return False
+        return True
+
+    def note_absent(self, prompt: Prompt, now: float) -> None:
+        """Remember the server's own word that it lacks what the prompt asks for."""
+        self._absent_until[wanted_names(prompt)[-1]] = now + ABSENT_MEMORY_S
+
+    def forget_absent(self) -> None:
+        """Believe what is published: it is newer."""
+        self._absent_until.clear()
+
+    def is_cold(self, now: float) -> bool:
+        """Whether the server bears only a few requests now."""
+        return now < self.cold_until
+
+    def is_paused(self, now: float) -> bool:
+        """Whether the server is left alone after failures."""
+        return now < self.paused_until
+
+    def note_unreachable(self, now: float) -> None:
+        """Leave the server alone for a time that grows with failures in a row."""
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0**self.failures)
+        self.failures += 1
+        self.paused_until = now + pause_s
+
+    def note_refused(self, now: float) -> None:
+        """The server is full: leave it alone for a moment."""
+        self.paused_until = max(self.paused_until, now + REFUSED_PAUSE_S)
+
+    def note_answer(self, latency_s: float) -> None:
+        """A first answer came."""
+        self.failures = 0
+        self.paused_until = -math.inf
+        if self.latency_s == 0.0:
+            self.latency_s = latency_s
+        else:
+            self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+
+    def remember_parts(self, prompt: Prompt) -> None:
+        """The prompt's shared parts are cached here from now on, as far as known."""
+        owner = "/".join(wanted_names(prompt))
+        for part in prompt.parts[:-1]:
+            key = (owner, part.part_id)
+            self._parts[key] = None
+            self._parts.move_to_end(key)
+        while len(self._parts) > REMEMBERED_PARTS:
+            self._parts.popitem(last=False)
+
+    def cached_tokens(self, prompt: Prompt) -> int:
+        """Return the tokens at the prompt's beginning that this node sent here lately."""
+        owner = "/".join(wanted_names(prompt))
+        total = 0
+        for part in prompt.parts[:-1]:
+            if (owner, part.part_id) not in self._parts:
+                break
+            total += part.tokens
+        return total
--- /dev/null
+++ b/src/zincvale/dataplane/forwarding/world.py
@@ -0,0 +1,161 @@
+"""The tables of one forwarding node: the document, the servers and the nodes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from zincvale.dataplane.forwarding.budgets import (
+    ColdTerms,
+    RetryBudget,
+    RetryTerms,
+    rendezvous_rank,
+)
+from zincvale.dataplane.forwarding.route_table import RouteTable
+from zincvale.dataplane.forwarding.servers import Residency, ServerState
+from zincvale.model.forwarding import ForwardingDocument, ForwardPool
+from zincvale.model.identifiers import MemberId, PoolName, ServerId, ZoneName
+from zincvale.model.view import Directory, Members, Role, ServerRow
+
+COLD_AFTER_EVACUATION_S = 1.5
+"""How long a zone's servers count as cold after it was opened again, before the list tells."""
+
+
+@attrs.frozen
+class ForwardingTerms:
+    """What a deployment allows, beside the document."""
+
+    retry: RetryTerms = RetryTerms()
+    cold: ColdTerms = ColdTerms()
+
+
+@attrs.define
+class ForwardingWorld:
+    """All tables of one node."""
+
+    zone: ZoneName
+    member: MemberId
+    terms: ForwardingTerms = ForwardingTerms()
+    document: ForwardingDocument = ForwardingDocument()
+    routes: RouteTable = attrs.field(factory=RouteTable)
+    servers: dict[ServerId, ServerState] = attrs.field(factory=dict)
+    by_pool: dict[str, list[ServerState]] = attrs.field(factory=dict)
+    node_count: int = 1
+    _nodes: list[str] = attrs.field(factory=list)
+    _members_version: int = 0
+    _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+    _residencies: dict[ServerId, Residency] = attrs.field(factory=dict)
+    _closing: Mapping[ServerId, frozenset[str]] = attrs.field(factory=dict)
+    _has_directory: bool = False
+
+    @property
+    def has_directory(self) -> bool:
+        """Whether a list of servers was ever taken."""
+        return self._has_directory
+
+    def apply_document(self, document: ForwardingDocument, now: float) -> bool:
+        """Take a newer document into force at once; False when it is not newer."""
+        if document.version <= self.document.version:
+            return False
+        opened = self.document.evacuated - document.evacuated
+        if document.routes != self.document.routes:
+            self.routes = RouteTable(document.routes.values())
+        self.document = document
+        for state in self.servers.values():
+            if state.row.zone in opened:
+                state.cold_until = max(state.cold_until, now + self._cold_start_s(state.row))
+        return True
+
+    def apply_directory(self, directory: Directory, now: float) -> None:
+        """Take a newer directory; evidence is kept for each incarnation of a server."""
+        self._has_directory = True
+        before = self.servers
+        self.servers = {
+            server: self._state(before.get(server), row, now)
+            for server, row in directory.servers.items()
+        }
+        self.by_pool = {}
+        for state in self.servers.values():
+            self.by_pool.setdefault(state.row.pool, []).append(state)
+
+    def apply_residencies(self, residencies: Mapping[ServerId, Residency]) -> None:
+        """Take what the placement leader knows of the servers' memory."""
+        changed = {
+            server
+            for server in self.servers
+            if residencies.get(server) != self._residencies.get(server)
+        }
+        self._residencies = dict(residencies)
+        for server in changed:
+            state = self.servers[server]
+            state.residency = self._residency_of(state.row)
+            state.forget_absent()
+
+    def apply_closing(self, closing: Mapping[ServerId, frozenset[str]]) -> bool:
+        """Take what is about to be unloaded; whether something new is closing."""
+        is_new = any(
+            names - self._closing.get(server, frozenset()) for server, names in closing.items()
+        )
+        self._closing = closing
+        for server, state in self.servers.items():
+            state.closing = closing.get(server, frozenset())
+        return is_new
+
+    def apply_members(self, members: Members) -> None:
+        """Take a newer member table: the number of nodes sets this node's shares."""
+        self._nodes = sorted(row.member for row in members.rows.values() if row.role is Role.NODE)
+        self.node_count = max(1, len(self._nodes))
+
+    def pool(self, name: str) -> ForwardPool | None:
+        """Return a declared pool."""
+        return self.document.pools.get(name)
+
+    def retry_budget(self, pool: str) -> RetryBudget:
+        """Return this node's share of a pool's second sends."""
+        budget = self._budgets.get(pool)
+        if budget is None:
+            budget = self._budgets[pool] = RetryBudget(self.terms.retry)
+        return budget
+
+    def may_send_cold(self, state: ServerState, now: float) -> bool:
+        """Whether a cold server may get one more request of this node now."""
+        pool = self.pool(state.row.pool)
+        if pool is None or pool.cold_per_s <= 0:
+            return True
+        cold = self.terms.cold
+        rank = rendezvous_rank(self.member, self._nodes, state.row.server)
+        allowed = pool.cold_per_s * cold.factor + cold.slack
+        return state.cold_allowance.may_send(allowed, rank, self.node_count, now)
+
+    def in_service(self, pools: Iterable[str]) -> Iterable[ServerState]:
+        """Return the servers of `pools` that may receive requests at all."""
+        for name in pools:
+            for state in self.by_pool.get(name, ()):
+                if not state.row.draining and state.row.zone not in self.document.evacuated:
+                    yield state
+
+    def _state(self, known: ServerState | None, row: ServerRow, now: float) -> ServerState:
+        if known is None or known.row.incarnation != row.incarnation:
+            state = ServerState(row, self._residency_of(row))
+            state.closing = self._closing.get(row.server, frozenset())
+            if row.cold_remaining_s > 0:
+                state.cold_until = now + row.cold_remaining_s
+            return state
+        if row.cold_remaining_s != known.row.cold_remaining_s:
+            known.cold_until = now + row.cold_remaining_s
+        if (row.models, row.adapters) != (known.row.models, known.row.adapters):
+            known.forget_absent()
+        known.row = row
+        known.residency = self._residency_of(row)
+        return known
+
+    def _residency_of(self, row: ServerRow) -> Residency:
+        told = self._residencies.get(row.server)
+        if told is not None and told.incarnation == row.incarnation:
+            return told
+        return Residency(row.incarnation, frozenset(row.models), frozenset(row.adapters))
+
+    def _cold_start_s(self, row: ServerRow) -> float:
+        pool = self.pool(PoolName(row.pool))
+        return COLD_AFTER_EVACUATION_S + (pool.cold_start_s if pool is not None else 0.0)
--- a/src/zincvale/model/resources.py
+++ b/src/zincvale/model/resources.py
@@ -54,6 +54,8 @@
     max_requests_per_second_per_server: float = 0.0
     """0 means no limit."""
     max_queue: int = 256
+    adapter_slots: int = 0
+    """Adapters that fit on one server, whatever their size; 0 means no limit."""
 
 
 @dataclass
@@ -79,6 +81,9 @@
     address: str
     bytes_per_second: int = 1_000_000_000
     max_concurrent_loads: int = 4
+    loads_per_window: int = 0
+    """Loads that may begin in any `window_s`; 0 means any number."""
+    window_s: float = 0.0
 
 
 @dataclass
--- a/src/zincvale/model/view.py
+++ b/src/zincvale/model/view.py
@@ -76,6 +76,10 @@
     max_running: int = 0
     closing: frozenset[str] = frozenset()
     """Models and adapters about to be unloaded: send them nothing new."""
+    draining: bool = False
+    """The server is about to leave: send it nothing new."""
+    cold_remaining_s: float = 0.0
+    """How long it bears only a few requests, counted from when the row was first published so."""
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/zincvale/platform/callers.py
@@ -0,0 +1,57 @@
+"""Heads of requests and answers as the platform's callers and servers write them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from zincvale.dataplane.forwarding.dialect import AnswerFacts, CallerFacts, SendFacts
+from zincvale.dataplane.forwarding.native_dialect import prompt_of
+
+MS_PER_S = 1000.0
+MISDIRECTED = 421
+
+
+class PlatformForwarding:
+    """Implements `ForwardingDialect`."""
+
+    def caller_facts(self, headers: Mapping[str, str]) -> CallerFacts:
+        """Read a caller's head."""
+        model, _, adapter = headers.get("model", "").partition("/")
+        prompt = None
+        if model:
+            tokens, parts = headers.get("token-counts", ""), headers.get("prompt-prefix", "")
+            prompt = prompt_of(model, adapter, tokens, parts)
+        return CallerFacts(
+            request_id=headers.get("request-id", ""),
+            deadline_s=_seconds(headers.get("deadline-ms", "")),
+            prompt=prompt,
+            last_event_id=headers.get("last-event-id", ""),
+        )
+
+    def sent_headers(self, facts: SendFacts) -> dict[str, str]:
+        """Return the headers added for a server."""
+        headers = {
+            "Deadline-Ms": str(max(1, int(facts.deadline_s * MS_PER_S))),
+            "Expect-Instance": facts.incarnation,
+            "Request-Urgency": str(facts.urgency),
+        }
+        if facts.last_event_id:
+            headers["Last-Event-Id"] = facts.last_event_id
+        return headers
+
+    def answer_facts(self, status: int, headers: Mapping[str, str]) -> AnswerFacts:
+        """Read a server's head."""
+        misdirected = status == MISDIRECTED
+        return AnswerFacts(
+            request_id=headers.get("request-id", ""),
+            never_ran=misdirected or "not-executed" in headers,
+            misdirected=misdirected,
+        )
+
+
+def _seconds(milliseconds: str) -> float | None:
+    try:
+        value = float(milliseconds)
+    except ValueError:
+        return None
+    return value / MS_PER_S if value >= 0 else None
--- /dev/null
+++ b/src/zincvale/platform/main.py
@@ -0,0 +1,93 @@
+"""Starts one daemon on the platform: `python3 deploy/start.py core|node`."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Callable
+
+from tornado.ioloop import PeriodicCallback
+
+from zincvale.model.errors import ZincvaleError
+from zincvale.platform.settings import ProcessSettings, load, settings_path
+from zincvale.runtime.logs import open_log
+
+SETTINGS_LOOK_MS = 2_000
+EXIT_USAGE = 2
+
+
+def main(arguments: list[str]) -> int:
+    """Run the role that the arguments name; return the exit status."""
+    role = arguments[0] if arguments else ""
+    try:
+        if role not in ("core", "node"):
+            print("error: name the role, core or node", file=sys.stderr)
+            return EXIT_USAGE
+        settings = load(role)
+        open_log("", settings.daemon.member_id)
+        _run(role, settings)
+    except ZincvaleError as error:
+        print(f"error: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    return 0
+
+
+def _run(role: str, settings: ProcessSettings) -> None:
+    # Imported here: each role needs only its own half.
+    from zincvale.daemons.forwarding_seams import ForwardingDialects
+    from zincvale.daemons.forwarding_timings import forwarding_timings
+    from zincvale.platform.callers import PlatformForwarding
+    from zincvale.platform.operators import PlatformOperators
+    from zincvale.platform.servers import PlatformOrders, PlatformServerList
+
+    dialects = ForwardingDialects(
+        PlatformForwarding(), PlatformOperators(), PlatformServerList(), PlatformOrders()
+    )
+    if role == "core":
+        from zincvale.daemons.forwarding_core import ForwardingCore
+
+        core = ForwardingCore(
+            settings.daemon,
+            settings.forwarding,
+            dialects,
+            forwarding_timings(),
+            settings.bootstrap,
+        )
+        _watch_settings(role, core.use_seeds, core.process)
+        core.run()
+        return
+    from zincvale.daemons.forwarding_node import ForwardingNode
+
+    node = ForwardingNode(settings.daemon, settings.forwarding, dialects, forwarding_timings())
+    _watch_settings(role, node.use_seeds, node.process)
+    node.run()
+
+
+def _watch_settings(
+    role: str, use_seeds: Callable[[tuple[str, ...]], None], process: object
+) -> None:
+    """Take the seeds anew when the file changed, or when a signal says so."""
+    seen = [_changed_at()]
+
+    def reload() -> None:
+        try:
+            use_seeds(tuple(load(role).daemon.seeds))
+        except ZincvaleError as error:
+            # A file that is being written: what was read before stays in use.
+            print(f"warning: {error}", file=sys.stderr)
+
+    def look() -> None:
+        changed_at = _changed_at()
+        if changed_at != seen[0]:
+            seen[0] = changed_at
+            reload()
+
+    process.on_reload = reload  # type: ignore[attr-defined]
+    PeriodicCallback(look, SETTINGS_LOOK_MS).start()
+
+
+def _changed_at() -> int:
+    try:
+        return os.stat(settings_path()).st_mtime_ns
+    except OSError:
+        return 0
--- /dev/null
+++ b/src/zincvale/platform/servers.py
@@ -0,0 +1,133 @@
+"""The platform's list of servers, and how its servers take orders and report."""
+
+from __future__ import annotations
+
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+import orjson
+
+from zincvale.controlplane.listed_servers import ListedServer
+from zincvale.controlplane.placement.events import Order, OrderRefusal
+from zincvale.controlplane.placement.items import ItemKind
+from zincvale.daemons.forwarding_seams import ListPage
+from zincvale.daemons.http_fetch import FetchResult
+from zincvale.daemons.server_orders import HttpCall, OrderReply, StatusReading
+from zincvale.model.errors import MalformedBody
+from zincvale.model.identifiers import (
+    AdapterName,
+    Address,
+    ModelName,
+    PoolName,
+    ServerId,
+    ZoneName,
+)
+from zincvale.model.view import ServerRow
+
+REPORT_LAG_S = 0.6
+MS_PER_S = 1000.0
+TOO_MANY = 429
+REPLY_BY_STATUS: dict[int, OrderReply | OrderRefusal] = {
+    200: OrderReply.DONE,
+    202: OrderReply.TAKEN,
+    400: OrderRefusal.OTHER,
+    409: OrderRefusal.BUSY,
+    412: OrderRefusal.STALE_EPOCH,
+    421: OrderRefusal.OTHER,
+}
+
+
+class PlatformServerList:
+    """Implements `ServerListDialect`."""
+
+    def list_path(self, page: str) -> str:
+        """Return the path of a page."""
+        return f"/instances?pageToken={quote(page)}" if page else "/instances"
+
+    def read_page(self, body: bytes) -> ListPage:
+        """Return a page; raises `MalformedBody`."""
+        try:
+            plain = orjson.loads(body)
+            servers = [_listed(each) for each in plain["instances"]]
+            return ListPage(servers, plain.get("nextPageToken") or "")
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise MalformedBody(f"the list cannot be read: {error!r}", "ask again") from error
+
+    def is_throttled(self, result: FetchResult) -> bool:
+        """Whether the list was asked too often."""
+        return result.status == TOO_MANY
+
+
+class PlatformOrders:
+    """Implements `ServerOrders`."""
+
+    confirms_by_repeating = True
+
+    def order_call(
+        self, order: Order, row: ServerRow, holder: str, sequence: int | None
+    ) -> HttpCall:
+        """Return the call that gives an order."""
+        body: dict[str, Any] = {
+            "operation": order.action.value,
+            "holder": holder,
+            "fencingToken": order.epoch,
+        }
+        if order.item_kind is ItemKind.MODEL:
+            body["model"] = order.name
+        else:
+            body["model"], _, body["adapter"] = order.name.rpartition("/")
+        if sequence is not None:
+            body["expectedRevision"] = sequence
+        return HttpCall("/v1/order", orjson.dumps(body), {"Expect-Instance": row.incarnation})
+
+    def order_reply(self, order: Order, result: FetchResult) -> OrderReply | OrderRefusal:
+        """Return what the answer proves."""
+        if not result.connected:
+            return OrderRefusal.NOT_CONNECTED
+        return REPLY_BY_STATUS.get(result.status, OrderReply.UNKNOWN)
+
+    def status_call(self, row: ServerRow) -> HttpCall:
+        """Return the call that asks for a server's report."""
+        return HttpCall("/v1/report", b"", {"Expect-Instance": row.incarnation})
+
+    def read_status(self, row: ServerRow, result: FetchResult) -> StatusReading | None:
+        """Return the report in an answer; raises `MalformedBody`."""
+        if result.status != 200:
+            return None
+        try:
+            plain = orjson.loads(result.body)
+            models, adapters = _holdings(plain["models"])
+            return StatusReading(
+                attrs.evolve(row, models=models, adapters=adapters, running=plain["running"]),
+                age_s=REPORT_LAG_S,
+                is_busy=bool(plain["busy"]),
+                sequence=int(plain["sequence"]),
+            )
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise MalformedBody(f"the report cannot be read: {error!r}", "ask again") from error
+
+
+def _listed(plain: dict[str, Any]) -> ListedServer:
+    models, adapters = _holdings(plain.get("models") or ())
+    return ListedServer(
+        server=ServerId(plain["id"]),
+        address=Address(plain["address"]),
+        pool=PoolName(plain["service"]),
+        zone=ZoneName(plain["zone"]),
+        draining=plain.get("state") == "draining",
+        cold_remaining_s=(plain.get("coldRemainingMs") or 0) / MS_PER_S,
+        slots=int(plain.get("slots") or 0),
+        models=models,
+        adapters=adapters,
+    )
+
+
+def _holdings(models: Any) -> tuple[frozenset[ModelName], frozenset[AdapterName]]:
+    names = frozenset(ModelName(each["name"]) for each in models)
+    adapters = frozenset(
+        AdapterName(f"{each['name']}/{adapter}")
+        for each in models
+        for adapter in each.get("adapters") or ()
+    )
+    return names, adapters
--- /dev/null
+++ b/src/zincvale/platform/settings.py
@@ -0,0 +1,109 @@
+"""The platform's settings file, as the daemons' own settings."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from zincvale.model.errors import InvalidInput
+from zincvale.runtime.forwarding_settings import ForwardingSettings
+from zincvale.runtime.settings import DaemonSettings, InitialCore
+
+SETTINGS_VARIABLE = "ZINCVALE_CONFIG"
+CLUSTER_ID = "platform"
+NODE_PORT, CORE_PORT = 0, 1
+"""Which of the internal ports each role listens on."""
+MS_PER_S = 1000.0
+
+
+@attrs.frozen
+class ProcessSettings:
+    """Everything one process is told."""
+
+    daemon: DaemonSettings
+    forwarding: ForwardingSettings
+    bootstrap: bool
+
+
+def settings_path() -> str:
+    """Return where the settings file lies."""
+    return os.environ.get(SETTINGS_VARIABLE, "")
+
+
+def load(role: str) -> ProcessSettings:
+    """Return the settings of this process; raises `InvalidInput`."""
+    path = settings_path()
+    try:
+        plain = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        return read(plain, role)
+    except OSError as error:
+        raise InvalidInput(
+            f"settings file {path!r} cannot be read: {error.strerror}",
+            f"name a readable file in {SETTINGS_VARIABLE}",
+        ) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise InvalidInput(
+            f"settings file {path!r} is not TOML: {error}", "write it whole"
+        ) from error
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise InvalidInput(
+            f"settings file {path!r}: {error!r} is missing or of another type", "add the field"
+        ) from error
+
+
+def read(plain: dict[str, Any], role: str) -> ProcessSettings:
+    """Return the decoded file as settings of `role`; fields that are not known are ignored."""
+    ports = plain["internalPorts"]
+    ip = plain["ip"]
+    seeds = [_host(seed) for seed in plain.get("seeds", [])]
+    bootstrap = bool(plain.get("bootstrap", False))
+    listen = plain.get("listen", {})
+    is_core = role == "core"
+    daemon = DaemonSettings(
+        cluster_id=CLUSTER_ID,
+        member_id=f"{role}-{ip}",
+        role=role,
+        zone=plain["zone"],
+        region=plain.get("region", ""),
+        api_address=listen["control"] if is_core else listen["front"],
+        peer_address=f"{ip}:{ports[0] + (CORE_PORT if is_core else NODE_PORT)}",
+        seeds=[f"{seed}:{ports[0] + CORE_PORT}" for seed in seeds],
+        data_folder=plain.get("dataDirectory", ""),
+        bootstrap_cores=[_initial_core(seed, ports[0]) for seed in seeds] if bootstrap else [],
+    )
+    return ProcessSettings(daemon, _forwarding(plain), bootstrap)
+
+
+def _initial_core(ip: str, first_port: int) -> InitialCore:
+    address = f"{ip}:{first_port + CORE_PORT}"
+    return InitialCore(member_id=f"core-{ip}", api_address=address, peer_address=address, zone="")
+
+
+def _forwarding(plain: dict[str, Any]) -> ForwardingSettings:
+    bounds = plain.get("bounds", {})
+    cloud = plain.get("cloud", {})
+    return ForwardingSettings(
+        readiness_address=plain.get("listen", {}).get("readiness", ""),
+        ready_path="/v1/ready",
+        list_address=cloud.get("address", ""),
+        list_lag_s=cloud.get("lagMs", 1000) / MS_PER_S,
+        retry_ratio=bounds.get("retryBudgetRatio", 0.2),
+        retry_slack=bounds.get("budgetSlack", 20),
+        retry_window_s=bounds.get("budgetWindowS", 10),
+        cold_factor=bounds.get("coldOver", 1.0),
+        cold_slack=bounds.get("coldSlack", 0),
+        store_window_s=bounds.get("ceilingWindowS", 5),
+        store_over=bounds.get("ceilingOver", 1.0),
+        order_quiet_s=bounds.get("leaseMs", 3000) / MS_PER_S,
+        grace_s=bounds.get("graceS", 8),
+        change_limit_s=bounds.get("acknowledgeMs", 4000) / MS_PER_S,
+        catch_up_s=bounds.get("catchUpS", 4),
+    )
+
+
+def _host(address: str) -> str:
+    return address.rpartition(":")[0]
