--- a/src/zincvale/runtime/listening.py
+++ b/src/zincvale/runtime/listening.py
@@ -6,11 +6,12 @@
 import socket
 
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
+from zincvale.model.addresses import split_address
 from zincvale.model.errors import StartFailed
-from zincvale.runtime.settings import split_address
 
 IDLE_CONNECTION_TIMEOUT_S = 75.0
 BODY_TIMEOUT_S = 10.0
@@ -19,7 +20,10 @@
 
 
 def listen(
-    application: Application, address: str, field_name: str, max_body_bytes: int
+    application: Application | HTTPServerConnectionDelegate,
+    address: str,
+    field_name: str,
+    max_body_bytes: int,
 ) -> HTTPServer:
     """Serve `application` at `address`; raises `StartFailed`.
 
--- a/src/zincvale/runtime/settings.py
+++ b/src/zincvale/runtime/settings.py
@@ -106,9 +106,3 @@
         ) from error
     if not 0 < number <= HIGHEST_PORT:
         raise InvalidInput(f"{field_name}: port {number} is out of range", "use 1 to 65535")
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and port of `ip:port`."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/tests/controlplane/placement/test_leadership.py
+++ b/tests/controlplane/placement/test_leadership.py
@@ -214,6 +214,8 @@
         )
         rows = {f"server-{n}": make_row(f"server-{n}") for n in range(1, 5)}
         driver = Driver(intent, rows, attrs.evolve(Driver(intent, rows).config, store_burst_s=1.0))
+        driver.demand(*((name, None, 1, 0) for name in intent.models))
+        driver.now += 60.0
         first = loads_in(driver.lead())
         # 5 GB are owed to a store of 1 GB a second: the next load leaves 4 s later.
         self.assertEqual(1, len(first))
--- a/tests/controlplane/placement/test_mutations.py
+++ b/tests/controlplane/placement/test_mutations.py
@@ -55,6 +55,7 @@
     },
     "memory counts only what is confirmed": {
         f"{PLACEMENT}.servers.ServerState.free_now_bytes": free_of_confirmed,
+        f"{PLACEMENT}.servers.ServerState.free_planned_bytes": free_of_confirmed,
     },
     "store slots are not counted": {
         f"{PLACEMENT}.stores.StoreState.occupied_slots": lambda self, now: 0,
--- a/tests/controlplane/placement/test_residency.py
+++ b/tests/controlplane/placement/test_residency.py
@@ -25,7 +25,7 @@
 )
 from zincvale.controlplane.placement.moves import MoveKind, MoveReason, MoveState
 from zincvale.model.resources import ModelSpec, ServerSpec, Stake, ZoneSpec
-from zincvale.model.view import ServerHealth
+from zincvale.model.view import Intent, ServerHealth
 
 NO_FILL = PlacementConfig(fill_free_memory=False)
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -147,6 +147,19 @@
             driver.tick(0.5)
         self.assertNotIn(("server-1", "rare"), unloads_in(driver.seen))
 
+    def test_requests_that_wait_for_long_close_a_used_copy_that_leaves_when_idle(self):
+        driver = self.driver
+        names = ("hot", "warm", "rare")
+        busy = tuple(("server-1", name, 1) for name in names)
+        for _ in range(10):
+            driver.demand(("new", None, 3, 3), use=busy)
+            driver.tick(0.5)
+        closing = [effect for effect in driver.seen if isinstance(effect, MarkClosing)]
+        self.assertEqual([MarkClosing("server-1", frozenset({"rare"}))], closing)
+        self.assertEqual([], orders_in(driver.seen))
+        driver.demand(("new", None, 0, 3), use=busy[:2])
+        self.assertEqual([("server-1", "rare")], unloads_in(driver.tick(0.2)))
+
     def test_a_closing_copy_waits_for_reports_made_after_the_mark(self):
         driver = self.driver
         driver.demand(("new", None, 1, 1))
@@ -244,6 +257,13 @@
         self.assertEqual(8 * GB + GB // 10, server.held_bytes)
         self.assertEqual({}, driver.controller.world.undeclared)
 
+    def test_a_leader_without_an_intent_unloads_nothing(self):
+        driver = Driver(Intent(), {"server-1": make_row("server-1")})
+        driver.report(models=frozenset({"alpha"}))
+        driver.lead()
+        driver.tick(90.0)
+        self.assertEqual([], orders_in(driver.seen))
+
     def test_a_large_intent_is_taken_in_parts_and_the_newest_spec_counts(self):
         config = PlacementConfig(declaration_budget=1)
         driver = Driver(make_intent({"a": 5, "b": 5}, {"a:1": "a"}), {}, config)
