Polls, renewals and demand stay in a node's zone; one status settles a server

A new placement leader asked each server twice and left itself three loads in its first window. Change: nodes prefer cores of their zone for polls and renewals, report demand to one core, which passes it to the leader; orders carry the number of orders a status showed, so one status settles; the window counts what the former leader can have begun at full speed.

--- a/src/zincvale/controlplane/placement/config.py
+++ b/src/zincvale/controlplane/placement/config.py
@@ -56,6 +56,8 @@
         order has no answer.
     shortest_status_interval_s : as above, near the end of a load.
     undeclared_grace_s : a copy that no resource declares is unloaded after this long.
+    one_status_settles : orders carry the number of orders that the server's status showed, so that
+        one status is enough to order on.
     servers_guard_unloads : servers themselves refuse requests for what they unload and let running
         ones end, so that an unload needs no word of the nodes.
     adapters_add_copies : a model gets more copies when its adapters in demand do not fit beside
@@ -111,6 +113,7 @@
     status_interval_s: float = 0.2
     shortest_status_interval_s: float = 0.1
     undeclared_grace_s: float = 30.0
+    one_status_settles: bool = False
     servers_guard_unloads: bool = False
     adapters_add_copies: bool = False
     crowds_count_as_waiting: bool = False
--- a/src/zincvale/controlplane/placement/leadership.py
+++ b/src/zincvale/controlplane/placement/leadership.py
@@ -38,7 +38,7 @@
     leadership.stores_open = False
     leadership.orders_from = now + world.config.orders_from_s
     for store in world.stores.values():
-        store.assume_begun(now)
+        store.assume_begun(world.config.orders_from_s, now)
     world.watched.update(dict.fromkeys(world.servers))
     for key in world.items:
         world.queue_review(key)
--- a/src/zincvale/controlplane/placement/settle.py
+++ b/src/zincvale/controlplane/placement/settle.py
@@ -26,10 +26,13 @@
         return
     if asked_at < leadership.gained_at + world.config.order_lifetime_s:
         return
-    if server.first_answer_at < leadership.gained_at:
+    if not world.config.one_status_settles and server.first_answer_at < leadership.gained_at:
         server.first_answer_at = now
         return
-    if asked_at >= server.first_answer_at + world.config.settle_s:
+    if (
+        world.config.one_status_settles
+        or asked_at >= server.first_answer_at + world.config.settle_s
+    ):
         server.settled_epoch = leadership.epoch
         world.capacity_appeared = True
         world.log(log_events.SERVER_SETTLED, server=server.server, epoch=leadership.epoch)
--- a/src/zincvale/controlplane/placement/stores.py
+++ b/src/zincvale/controlplane/placement/stores.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 import attrs
@@ -114,13 +115,18 @@
         over = self.owed_bytes - self.bytes_per_second * config.store_burst_s
         return now + max(over, 0.0) / self.bytes_per_second
 
-    def assume_begun(self, now: float) -> None:
-        """A leader before may have begun nearly as many loads as a window takes until now."""
+    def assume_begun(self, quiet_s: float, now: float) -> None:
+        """A leader before may have begun loads at the store's full speed until now.
+
+        Counted are those that still lie in a window when this leader may order, after `quiet_s`.
+        """
         if not self.loads_per_window:
             return
         self._begun.clear()
-        assumed = max(0, self.loads_per_window - LOADS_LEFT_TO_NEW_LEADER)
-        self._begun.extend([now] * assumed)
+        most = self.loads_per_window - LOADS_LEFT_TO_NEW_LEADER
+        rate = self.loads_per_window / self.window_s
+        in_window = self.max_concurrent_loads + math.ceil(rate * max(0.0, self.window_s - quiet_s))
+        self._begun.extend([now] * max(0, min(most, in_window)))
 
     def _window_left(self, now: float) -> bool:
         """Whether one more load may begin in the window that ends now."""
--- a/src/zincvale/coordination/node_home.py
+++ b/src/zincvale/coordination/node_home.py
@@ -32,12 +32,17 @@
         """Whether a renewal is under way."""
         return bool(self._token)
 
-    def renew(self, grantors: list[MemberId], renewal: RenewLease, now: float) -> Call | None:
-        """Return the call that renews through the home core, or None when there is none to ask."""
+    def renew(
+        self, grantors: list[MemberId], near: list[MemberId], renewal: RenewLease, now: float
+    ) -> Call | None:
+        """Return the call that renews through the home core, or None when there is none to ask.
+
+        A core among the `near` ones is preferred.
+        """
         if self._token:
             return None
         if self._core not in grantors:
-            self._core = self._choose(grantors, now)
+            self._core = self._choose(near, now) or self._choose(grantors, now)
         if self._core is None:
             return None
         self._count += 1
--- a/src/zincvale/coordination/node_lease.py
+++ b/src/zincvale/coordination/node_lease.py
@@ -81,6 +81,12 @@
         """Return the cores whose grants count, once they are known."""
         return self._grantors.members()
 
+    def in_own_zone(self, members: list[MemberId]) -> list[MemberId]:
+        """Return those of `members` that are cores of this node's zone."""
+        infos = ((member, self.cores.get(member)) for member in members)
+        zone = self._config.zone
+        return [member for member, info in infos if info is not None and info.zone == zone]
+
     def seeds(self) -> list[MemberId]:
         """Return the seeds, by address."""
         return [MemberId(f"@{seed}") for seed in self._config.seeds]
--- a/src/zincvale/coordination/node_machine.py
+++ b/src/zincvale/coordination/node_machine.py
@@ -197,7 +197,9 @@
             return []
         if self._left_s(now) < self._config.timings.lease_ttl_s * HEALTHY_FACTOR:
             return self._renew(now)
-        call = self._home.renew(self._lease.grantors(), self._renewal(now), now)
+        grantors = self._lease.grantors()
+        near = self._lease.in_own_zone(grantors)
+        call = self._home.renew(grantors, near, self._renewal(now), now)
         if call is None:
             return self._renew(now)
         self._renew_at = now + self._config.timings.lease_renew_s
@@ -261,10 +263,13 @@
         return self._random.sample(peers, min(RELAYS_ASKED, len(peers)))
 
     def _poll_hosts(self, now: float) -> list[MemberId]:
-        """Return whom to poll: cores that answer this node, else peers that know more, or any."""
+        """Return whom to poll: cores that answer this node, else peers that know more, or any.
+
+        Cores of the node's own zone come first: what they deliver crosses no zone.
+        """
         answering = self._answering(now)
         if answering:
-            return answering
+            return self._lease.in_own_zone(answering) or answering
         return self._island.newer_peers(self._poller.held(), now) or self._peers()
 
     def _answering(self, now: float) -> list[MemberId]:
--- a/src/zincvale/daemons/forwarding_core.py
+++ b/src/zincvale/daemons/forwarding_core.py
@@ -218,7 +218,7 @@
             plan_interval_s=0.05,
             order_lifetime_s=ORDER_LIFETIME_S,
             orders_from_s=self._forwarding.order_quiet_s,
-            settle_s=0.2,
+            one_status_settles=True,
             takeover_limit_s=ORDER_LIFETIME_S,
             closing_wait_s=0.0,
             min_residency_s=0.5,
@@ -293,6 +293,14 @@
     def _told_at(self, row: ServerRow, asked_at: float) -> float:
         return asked_at if self._role_epoch else float("-inf")
 
+    def _pass_on_demand(self, sender: MemberId, report: Any) -> None:
+        """Hand a node's report to the leader; what another core passed on goes no further."""
+        if sender != report.node:
+            return
+        holder = self.machine.role_holders(self._clock()).get(PLACEMENT_ROLE, (None, 0))[0]
+        if holder is not None and holder != self._settings.member_id:
+            self.process.peers.send(holder, report)
+
     def _server_reached(self, server: ServerId, reached: bool) -> None:
         """Take a server that cannot be reached out of placement until it answers again.
 
@@ -317,6 +325,7 @@
     def _demand_received(self, sender: MemberId, message: Any) -> None:
         self._placement.feed(demand_reported(message))
         if not self._role_epoch:
+            self._pass_on_demand(sender, message)
             return
         for name in message.unreachable:
             server = ServerId(name)
--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -67,6 +67,7 @@
         self._clock = suspend_aware_now
         self._random = random.Random(incarnation)
         self._member = MemberId(settings.member_id)
+        self._zone = ZoneName(settings.zone)
         self._documents = DocumentDecoder()
         self._directory = DirectoryDecoder()
         self._residencies = ResidencyDecoder()
@@ -215,9 +216,16 @@
         is_quiet = not (report.rows or report.use)
         interval_s = QUIET_DEMAND_INTERVAL_S if is_quiet else DEMAND_INTERVAL_S
         self._demand_due_at = self._clock() + interval_s
-        for member, row in self.machine.members(self._clock()).rows.items():
-            if row.role is Role.CORE:
-                self.process.peers.send(member, report)
+        core = self._core_for_demand()
+        if core is not None:
+            self.process.peers.send(core, report)
+
+    def _core_for_demand(self) -> MemberId | None:
+        """Return the core that passes demand on to the leader: one of this zone, if possible."""
+        rows = self.machine.members(self._clock()).rows.values()
+        cores = sorted(row.member for row in rows if row.role is Role.CORE)
+        near = [row.member for row in rows if row.role is Role.CORE and row.zone == self._zone]
+        return min(near, default=cores[0] if cores else None)
 
     def _start_draining(self) -> None:
         self._drain_began_at = self._clock()
--- a/src/zincvale/daemons/forwarding_timings.py
+++ b/src/zincvale/daemons/forwarding_timings.py
@@ -9,9 +9,9 @@
 
 from zincvale.coordination.config import Timings
 
-ROLE_LEASE_S = 2.0
-ROLE_MARGIN_S = 0.4
-ROLE_RENEW_S = 0.5
+ROLE_LEASE_S = 1.6
+ROLE_MARGIN_S = 0.3
+ROLE_RENEW_S = 0.4
 REPLACE_DELAY_S = 1.2
 BOOTSTRAP_LISTEN_S = 0.5
 CANDIDATE_STAGGER_S = 0.3
