Restart: first leases within a second; replica sets that were never chosen are taken back

Cause: after every process was killed, a node got its first lease 3.1 s after the cores had started. Each step waited for the next periodic message: a status until the other core had heard it (0.25 s), an owner's word that it owns a key, the node's next renewal (0.35 of an interval), the placer's next read of the list.

Change: a core answers a status that does not know its process yet; an owner says so at once until it has caught up; a core that calls nodes back tells them that it grants; a started node asks again after 75 ms, growing by a quarter; the list is read at once while nothing is known.

An EOF-delimited answer was counted as a connection at rest; its test is in tests/transport/test_server_connection.py.

--- a/src/zincvale/controlplane/listed_servers.py
+++ b/src/zincvale/controlplane/listed_servers.py
@@ -39,7 +39,8 @@
 LISTED_TOPIC = f"{LEADERLESS_PREFIX}servers"
 READ_INTERVAL_S = 0.8
 SILENCE_S = 1.3
-"""Without news of a reading for so long, the core of the first rank reads."""
+"""Without news of a reading for so long, the core of the first rank reads; a started core that
+heard of none yet does not wait for it."""
 RANK_STEP_S = 0.4
 THROTTLED_PAUSE_S = 1.0
 EMPTY_READINGS_BELIEVED = 3
@@ -207,8 +208,8 @@
         """
         if self._reading or now < self._read_due_at:
             return []
-        silent_s = now - self._heard_at
-        if not self.is_reader and silent_s < SILENCE_S + RANK_STEP_S * rank:
+        patience_s = RANK_STEP_S * rank + (SILENCE_S if self._known_epoch else 0.0)
+        if not self.is_reader and now - self._heard_at < patience_s:
             return []
         self._reading = True
         return [FetchList()]
--- a/src/zincvale/coordination/core_inputs.py
+++ b/src/zincvale/coordination/core_inputs.py
@@ -127,6 +127,9 @@
     parts: CoreParts, sender: MemberId, status: CoreStatus, now: float
 ) -> list[Effect]:
     parts.context.cores.note(sender, status, now)
+    if status.heard.get(parts.context.own_id) != parts.context.config.incarnation:
+        # The sender does not know this process yet: it need not wait for the next status.
+        parts.statuses.send_soon(now)
     parts.creation.note_existing(status.cluster_incarnation)
     effects = parts.ownership.handle_status(sender, status, now)
     effects.extend(parts.values.handle_status(sender, status, now))
--- a/src/zincvale/coordination/core_statuses.py
+++ b/src/zincvale/coordination/core_statuses.py
@@ -11,6 +11,8 @@
 from zincvale.model.identifiers import MemberId
 from zincvale.model.machine import Effect, Send
 
+LEAST_INTERVAL_S = 0.05
+"""Between two statuses, however much is asked for them."""
 RAW_ADDRESS_PREFIX = "@"
 """A member id that is an address: for first contact."""
 
@@ -33,6 +35,12 @@
         """Send the status with the next tick: something changed that others wait for."""
         self._due_at = self._context.started_at
 
+    def send_soon(self, now: float) -> None:
+        """Send the status with the next tick, unless one was sent a moment ago."""
+        interval_s = self._context.config.timings.status_interval_s
+        if self._due_at - now < interval_s - LEAST_INTERVAL_S:
+            self.send_now()
+
     def tick(self, now: float) -> list[Effect]:
         """Send the status when it is due."""
         if now < self._due_at:
--- a/src/zincvale/coordination/core_systems.py
+++ b/src/zincvale/coordination/core_systems.py
@@ -58,6 +58,9 @@
 
 def _carry_chosen(parts: CoreParts, key: str, chosen: ChosenNow, now: float) -> list[Effect]:
     position = chosen.record.position
+    if not parts.leases.caught_up:
+        # The others wait for this core's word that it owns the key before they grant leases.
+        parts.statuses.send_soon(now)
     parts.values.choose(key, position.version, chosen.record.rows, now)
     effects = parts.context.to_other_cores(Chosen(key, position))
     for order in chosen.orders:
--- a/src/zincvale/coordination/creation.py
+++ b/src/zincvale/coordination/creation.py
@@ -84,12 +84,16 @@
         return context.replica.handle(sender, message, REPLICA_SETS_KEY, now)
 
     def note_written(self) -> None:
-        """Use the newest accepted replica sets after a restart or a creation."""
+        """Use the newest accepted replica sets after a restart, a creation or a change.
+
+        An accepted change that was never chosen is overwritten under a higher epoch, maybe by an
+        older version: that one is used then. Only what is known to be chosen is never taken back.
+        """
         context = self._context
         record = context.replica.state(REPLICA_SETS_KEY).record
         if record.position > self._used:
             self._used = record.position
-            if record.position.version >= context.sets.version:
+            if record.position.version >= context.chosen_version(REPLICA_SETS_KEY):
                 context.use_sets(record.position.version, record.rows)
 
     def _listen_s(self) -> float:
--- a/src/zincvale/coordination/messages.py
+++ b/src/zincvale/coordination/messages.py
@@ -416,10 +416,14 @@
 @peer_message("lease.redirect")
 @attrs.frozen
 class LeaseRedirect:
-    """No grant: the sender cannot grant; `cores` are those it knows."""
+    """No grant: the sender cannot grant; `cores` are those it knows.
+
+    With `can_grant`, a core tells a node that renewed nowhere lately that it grants.
+    """
 
     cores: list[MemberInfo]
     reason: str
+    can_grant: bool = False
 
 
 # --- leader leases ----------------------------------------------------------------------------
--- a/src/zincvale/coordination/node_machine.py
+++ b/src/zincvale/coordination/node_machine.py
@@ -55,8 +55,8 @@
 """With less than this part of the lease left, at least one renewal went unanswered."""
 RELAY_FACTOR = 0.3
 """Peers are asked to relay only when direct renewals had time to be answered."""
-FIRST_LEASE_FACTOR = 0.35
-"""A started node asks for its first lease more often than it renews."""
+FIRST_ASK_AGAIN_S = 0.06
+ASK_AGAIN_GROWTH = 1.25
 RELAYS_ASKED = 2
 RELAY_INTERVAL_S = 0.3
 SEED_INTERVAL_S = 2.0
@@ -89,6 +89,7 @@
         self._heard_at: dict[MemberId, float] = {}
         """When each core last answered this node directly."""
         self._ever_leased = False
+        self._asked = 0
         self._polled = False
 
     # --- inputs ---------------------------------------------------------------------------
@@ -136,8 +137,10 @@
                 return [Send(MemberId(node), message)]
             case RelayRenewal(renewal) if self._has_lease(now):
                 return [Send(core, RelayedRenewal(renewal)) for core in self._lease.grantors()]
-            case LeaseRedirect():
-                self._lease.learn_cores(message.cores)
+            case LeaseRedirect(cores, _, can_grant):
+                self._lease.learn_cores(cores)
+                if can_grant and not self._has_lease(now):
+                    return self._renew(now)
             case RenewLease() | CoreStatus() if self._lease.cores:
                 return [Send(sender, LeaseRedirect(list(self._lease.cores.values()), "a node"))]
             case IslandProbe() if self._may_give_evidence(now):
@@ -231,11 +234,18 @@
 
     def _renew(self, now: float) -> list[Effect]:
         """Renew at every core."""
-        renew_s = self._config.timings.lease_renew_s
-        self._renew_at = now + (renew_s if self._ever_leased else renew_s * FIRST_LEASE_FACTOR)
+        self._renew_at = now + self._ask_again_s()
         renewal = self._renewal(now)
         return [Send(target, renewal) for target in self._lease.targets()]
 
+    def _ask_again_s(self) -> float:
+        """Return when to renew again: a started node asks often at first, then less and less."""
+        renew_s = self._config.timings.lease_renew_s
+        if self._ever_leased:
+            return renew_s
+        self._asked += 1
+        return min(renew_s, FIRST_ASK_AGAIN_S * ASK_AGAIN_GROWTH**self._asked)
+
     def _renewal(self, now: float) -> RenewLease:
         silent = self._island.is_silent(now)
         fence = self._poller.topics.newest_epoch()
--- a/src/zincvale/coordination/registry_keeper.py
+++ b/src/zincvale/coordination/registry_keeper.py
@@ -61,7 +61,7 @@
             if self._context.cores.address_of(MemberId(node)) is None:
                 address = Address(registry.decode_row(value).peer_address)
                 self._context.cores.note_peer(MemberId(node), address)
-            effects.append(Send(MemberId(node), LeaseRedirect(cores, "the cores call back")))
+            effects.append(Send(MemberId(node), LeaseRedirect(cores, "the cores call back", True)))
         return effects
 
     def _registered(self) -> Rows:
--- a/src/zincvale/transport/server_connection.py
+++ b/src/zincvale/transport/server_connection.py
@@ -18,6 +18,7 @@
 from zincvale.transport.server_exchange import AnswerHead, AnswerListener, OutgoingRequest
 
 READ_BYTES = 65_536
+ANSWER_START = b"HTTP/"
 MAX_HEAD_BYTES = 65_536
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
 PROBE_IDLE_S = 2
@@ -51,6 +52,8 @@
         self._request: OutgoingRequest | None = None
         self._listener: AnswerListener | None = None
         self._is_ours = False
+        self._awaits_answer = False
+        """Nothing was received since the request was sent."""
         self._is_closed = False
         self._paused = False
         self._resume: Callable[[], None] | None = None
@@ -75,6 +78,7 @@
         self._request = request
         self._listener = listener
         self._is_ours = False
+        self._awaits_answer = True
         content = self._encode(request)
         try:
             written = self._stream.write(content)
@@ -155,6 +159,10 @@
         self._break("the server closed the connection" if error is None else repr(error))
 
     def _feed(self, data: bytes) -> None:
+        if self._awaits_answer and data and not _may_begin_answer(data):
+            self._break("not an answer: it begins with other bytes")
+            return
+        self._awaits_answer = False
         try:
             self._parser.receive_data(data)
             self._take_events()
@@ -216,13 +224,14 @@
         self._parser.receive_data(trailing)
 
     def _finish_cycle(self) -> None:
-        """Rest, unless anything but the answer arrived or the request is still on its way."""
+        """Rest, unless the stream ended, more than the answer came, or the request still leaves."""
         trailing, _ = self._parser.trailing_data
         is_clean = (
             self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
             and not trailing
             and not self._stream.writing()
+            and not self._stream.closed()
         )
         if not is_clean or self._is_closed:
             self.close()
@@ -238,6 +247,10 @@
             listener.broken(reason)
 
 
+def _may_begin_answer(data: bytes) -> bool:
+    return data.startswith(ANSWER_START) or ANSWER_START.startswith(data)
+
+
 def set_options(connected: socket.socket) -> None:
     """Have a peer noticed that went dark: with unread bytes soon, when silent by probes."""
     connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/controlplane/test_listed_servers.py
+++ b/tests/controlplane/test_listed_servers.py
@@ -5,6 +5,7 @@
 import attrs
 import testtools
 
+from zincvale.controlplane.directory_messages import ListRead
 from zincvale.controlplane.listed_servers import (
     EMPTY_READINGS_BELIEVED,
     READ_INTERVAL_S,
@@ -64,12 +65,19 @@
 class ReadingTest(testtools.TestCase):
     def test_ranks_stand_in_one_after_the_other(self):
         machine = ListedServers("a", LAG_S, 0.0)
+        machine.read_heard(ListRead(5), 0.0)
         self.assertEqual([], machine.tick(0, SILENCE_S - 0.1))
         self.assertEqual([], machine.tick(1, SILENCE_S + 0.1))
         self.assertEqual([FetchList()], machine.tick(0, SILENCE_S + 0.1))
         self.assertEqual([], machine.tick(0, SILENCE_S + 0.2))
         self.assertEqual([0, 1, 2], [reader_rank(m, "b", ["a", "b", "c"]) for m in "bac"])
 
+    def test_a_started_core_that_heard_of_no_reading_reads_in_its_turn(self):
+        self.assertEqual([FetchList()], ListedServers("a", LAG_S, 0.0).tick(0, 0.01))
+        second = ListedServers("b", LAG_S, 0.0)
+        self.assertEqual([], second.tick(1, 0.01))
+        self.assertEqual([FetchList()], second.tick(1, 0.5))
+
     def test_a_reader_goes_on_and_others_keep_still_while_they_hear_of_it(self):
         one, other = Core("a"), Core("b")
         effects, deltas = one.read([listed()], 2.0)
--- /dev/null
+++ b/tests/coordination/test_creation.py
@@ -0,0 +1,83 @@
+"""Which replica sets a core goes by: the newest accepted, which may be taken back."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+
+from zincvale.coordination.config import CoreConfig, Timings
+from zincvale.coordination.core_context import CoreContext
+from zincvale.coordination.core_table import CoreTable
+from zincvale.coordination.creation import ClusterCreation
+from zincvale.coordination.epochs import Epoch, Position
+from zincvale.coordination.messages import Accept, MemberInfo, RecordUpdate
+from zincvale.coordination.recovered import RecoveredState
+from zincvale.coordination.register_replica import RegisterReplica
+from zincvale.coordination.replica_config import ReplicaConfig
+from zincvale.coordination.replica_sets import REPLICA_SETS_KEY, CoreRow, first_rows
+from zincvale.coordination.tables import VersionedTable
+from zincvale.model.identifiers import Address, MemberId, ZoneName
+from zincvale.model.machine import Write
+
+DISK = "disk-1"
+FIRST_OWNER = Epoch(1, "core-1/a")
+SECOND_OWNER = Epoch(2, "core-2/b")
+
+
+def core_rows(*names: str) -> list[CoreRow]:
+    return [
+        CoreRow(MemberInfo(name, "core", "z", f"{name}:1", f"{name}:2", "run"), f"disk-{name}")
+        for name in names
+    ]
+
+
+class AcceptedReplicaSetsTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        config = CoreConfig(
+            cluster_id="test",
+            member=MemberId("core-1"),
+            incarnation="run",
+            zone=ZoneName("z"),
+            region="r",
+            api_address=Address("core-1:1"),
+            peer_address=Address("core-1:2"),
+        )
+        self.replica = RegisterReplica(RecoveredState(DISK), Timings())
+        cores = CoreTable(config)
+        self.context = CoreContext(config, random.Random(1), 0.0, DISK, {}, self.replica, cores)
+        self.creation = ClusterCreation(self.context, [REPLICA_SETS_KEY])
+
+    def accept(self, epoch: Epoch, version: int, *names: str) -> None:
+        rows = first_rows("cluster", core_rows(*names), [REPLICA_SETS_KEY])
+        replicas = ReplicaConfig([row.replica() for row in core_rows(*names)])
+        update = RecordUpdate(Position(epoch, version), None, replicas, rows, [], [])
+        request = Accept(REPLICA_SETS_KEY, epoch, update, version - 1)
+        effects = self.replica.handle(MemberId("owner"), request, REPLICA_SETS_KEY, 0.0)
+        for effect in effects:
+            if isinstance(effect, Write):
+                self.replica.handle_written(effect.token, "", 0.0)
+        self.creation.note_written()
+
+    def test_the_newest_accepted_sets_are_used(self) -> None:
+        self.accept(FIRST_OWNER, 1, "core-1", "core-2")
+        self.accept(FIRST_OWNER, 2, "core-1", "core-2", "core-3")
+        self.assertEqual(2, self.context.sets.version)
+
+    def test_sets_that_were_never_chosen_are_taken_back(self) -> None:
+        """A cut owner's change reached its own disk alone; the next owner writes without it."""
+        self.accept(FIRST_OWNER, 1, "core-1", "core-2")
+        self.accept(FIRST_OWNER, 2, "core-1", "core-2", "core-3")
+        self.accept(SECOND_OWNER, 1, "core-1", "core-2")
+        self.assertEqual(1, self.context.sets.version)
+        self.assertNotIn(MemberId("core-3"), self.context.sets.cores)
+
+    def test_sets_known_to_be_chosen_are_never_taken_back(self) -> None:
+        self.accept(FIRST_OWNER, 1, "core-1", "core-2")
+        self.accept(FIRST_OWNER, 3, "core-1", "core-2", "core-3")
+        chosen = VersionedTable()
+        chosen.replace(3, self.replica.state(REPLICA_SETS_KEY).record.rows)
+        self.context.values[REPLICA_SETS_KEY] = chosen
+        self.accept(SECOND_OWNER, 1, "core-1", "core-2")
+        self.assertEqual(3, self.context.sets.version)
--- /dev/null
+++ b/tests/transport/test_server_connection.py
@@ -0,0 +1,245 @@
+"""A connection to a server, against whatever a server may send."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import testtools
+from tornado.iostream import IOStream
+
+from zincvale.transport.server_connection import ServerConnection
+from zincvale.transport.server_exchange import OutgoingRequest
+
+LIMIT_S = 5.0
+OURS = b"HTTP/1.1 200 OK\r\nrid: q1\r\nContent-Length: 4\r\n\r\nours"
+THEIRS = b"HTTP/1.1 200 OK\r\nrid: q0\r\nContent-Length: 6\r\n\r\ntheirs"
+
+
+class Listener:
+    """Keeps what it is told, and wakes whoever waits for the end."""
+
+    def __init__(self):
+        self.log = []
+        self.over = asyncio.get_running_loop().create_future()
+
+    def not_sent(self, reason):
+        self._end("not-sent")
+
+    def head(self, head):
+        self.log.append(head.status)
+
+    def content(self, data):
+        self.log.append(data)
+
+    def ended(self):
+        self._end("ended")
+
+    def broken(self, reason):
+        self._end("broken")
+
+    def _end(self, word):
+        self.log.append(word)
+        self.over.set_result(None)
+
+    @property
+    def body(self):
+        return b"".join(each for each in self.log if isinstance(each, bytes))
+
+
+class Wire:
+    """A connection and the server's end of it."""
+
+    def __init__(self):
+        near, self.far = socket.socketpair()
+        self.far.setblocking(False)
+        self.rested, self.closed = [], []
+        self.connection = ServerConnection(
+            IOStream(near), lambda: 0.0, self.rested.append, self.closed.append
+        )
+        self.connection.begin_reading()
+
+    def send(self, body=b"{}"):
+        request = OutgoingRequest(
+            "POST", "/x", [("Host", "a")], body, lambda status, headers: headers.get("rid") == "q1"
+        )
+        listener = Listener()
+        self.was_sent = self.connection.send(request, listener)
+        return listener
+
+    async def answer(self, *parts):
+        for part in parts:
+            await asyncio.get_running_loop().sock_sendall(self.far, part)
+
+    async def read(self, size=65536):
+        return await asyncio.wait_for(asyncio.get_running_loop().sock_recv(self.far, size), LIMIT_S)
+
+    async def until_closed(self):
+        while await self.read():
+            pass
+
+
+async def outcome(wire, *parts, close=False):
+    listener = wire.send()
+    await wire.read()
+    await wire.answer(*parts)
+    if close:
+        wire.far.close()
+    await asyncio.wait_for(listener.over, LIMIT_S)
+    return listener
+
+
+class ConnectionTest(testtools.TestCase):
+    def run_async(self, scenario):
+        asyncio.run(scenario())
+
+    def test_an_answer_is_read_and_the_connection_rests(self):
+        async def scenario():
+            wire = Wire()
+            for _ in range(3):
+                listener = await outcome(wire, OURS[:20], OURS[20:50], OURS[50:])
+                self.assertEqual((200, b"ours", "ended"), _told(listener))
+            self.assertEqual(3, len(wire.rested))
+
+        self.run_async(scenario)
+
+    def test_the_request_is_framed_and_nothing_is_added(self):
+        async def scenario():
+            wire = Wire()
+            wire.send(b"abc")
+            self.assertEqual(
+                b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", await wire.read()
+            )
+            wire = Wire()
+            wire.send(None)
+            self.assertEqual(b"POST /x HTTP/1.1\r\nHost: a\r\n\r\n", await wire.read())
+
+        self.run_async(scenario)
+
+    def test_an_answer_of_another_request_in_our_place_is_passed_over(self):
+        async def scenario():
+            for parts in ((THEIRS, OURS), (THEIRS + OURS,), (THEIRS + THEIRS + OURS,)):
+                listener = await outcome(Wire(), *parts)
+                self.assertEqual((200, b"ours", "ended"), _told(listener))
+
+        self.run_async(scenario)
+
+    def test_bytes_behind_our_answer_end_the_connection(self):
+        async def scenario():
+            wire = Wire()
+            listener = await outcome(wire, OURS + THEIRS)
+            self.assertEqual(b"ours", listener.body)
+            self.assertEqual(([], 1), (wire.rested, len(wire.closed)))
+
+        self.run_async(scenario)
+
+    def test_bytes_that_arrive_at_rest_end_the_connection(self):
+        async def scenario():
+            wire = Wire()
+            await outcome(wire, OURS)
+            await wire.answer(THEIRS)
+            await wire.until_closed()
+            self.assertFalse(wire.connection.is_open)
+            wire.send()
+            self.assertFalse(wire.was_sent)
+
+        self.run_async(scenario)
+
+    def test_a_server_that_closes_at_rest_is_noticed(self):
+        async def scenario():
+            wire = Wire()
+            await outcome(wire, OURS)
+            wire.far.close()
+            while not wire.closed:
+                await asyncio.sleep(0)
+            self.assertFalse(wire.connection.is_open)
+
+        self.run_async(scenario)
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        async def scenario():
+            wire = Wire()
+            listener = await outcome(wire, b"HTTP/1.1 200 OK\r\nrid: q1\r\n\r\nall", close=True)
+            self.assertEqual((200, b"all", "ended"), _told(listener))
+            self.assertEqual([], wire.rested)
+
+        self.run_async(scenario)
+
+    def test_what_breaks_off_is_never_whole(self):
+        async def scenario():
+            for parts in (
+                (),
+                (OURS[:10],),
+                (OURS[:-2],),
+                (b"HTTP/1.1 200 OK\r\nrid: q1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",),
+                (THEIRS,),
+                (THEIRS[:-1],),
+            ):
+                listener = await outcome(Wire(), *parts, close=True)
+                self.assertEqual("broken", listener.log[-1], parts)
+
+        self.run_async(scenario)
+
+    def test_what_is_no_answer_breaks_the_exchange(self):
+        async def scenario():
+            for garbage in (b"\x00\x01\x02\r\n\r\n", b"HTTP/1.1 abc\r\n\r\n", b"SSH-2.0\r\n"):
+                wire = Wire()
+                listener = await outcome(wire, garbage)
+                self.assertEqual(["broken"], listener.log)
+                self.assertFalse(wire.connection.is_open)
+
+        self.run_async(scenario)
+
+    def test_an_answer_that_comes_before_the_request_was_taken_ends_the_connection(self):
+        async def scenario():
+            wire = Wire()
+            listener = wire.send(b"x" * 5_000_000)
+            await wire.read(100)
+            await wire.answer(b"HTTP/1.1 503 Full\r\nrid: q1\r\nContent-Length: 0\r\n\r\n")
+            await asyncio.wait_for(listener.over, LIMIT_S)
+            self.assertEqual(503, listener.log[0])
+            self.assertFalse(wire.connection.is_open)
+
+        self.run_async(scenario)
+
+    def test_a_server_that_says_so_is_not_used_again(self):
+        async def scenario():
+            wire = Wire()
+            await outcome(wire, OURS.replace(b"rid", b"Connection: close\r\nrid"))
+            self.assertEqual(([], False), (wire.rested, wire.connection.is_open))
+
+        self.run_async(scenario)
+
+    def test_a_cancelled_exchange_closes_the_connection_and_tells_nothing(self):
+        async def scenario():
+            wire = Wire()
+            listener = wire.send()
+            await wire.read()
+            wire.connection.close()
+            await wire.until_closed()
+            self.assertEqual([], listener.log)
+
+        self.run_async(scenario)
+
+    def test_a_slow_caller_holds_the_server_up(self):
+        async def scenario():
+            wire = Wire()
+            listener = wire.send()
+            await wire.read()
+            wire.connection.pause()
+            await wire.answer(b"HTTP/1.1 200 OK\r\nrid: q1\r\nContent-Length: 6\r\n\r\nabc")
+            while not listener.body:
+                await asyncio.sleep(0)
+            await wire.answer(b"def")
+            for _ in range(20):
+                await asyncio.sleep(0)
+            self.assertEqual(b"abc", listener.body)
+            wire.connection.resume()
+            await asyncio.wait_for(listener.over, LIMIT_S)
+            self.assertEqual(b"abcdef", listener.body)
+
+        self.run_async(scenario)
+
+
+def _told(listener):
+    return listener.log[0], listener.body, listener.log[-1]
