Placement: copies follow crowds within half a second; settings watch and core assembly taken apart

Only 59 of 136 late requests had waited long before they reached a server: the copies were crowded. The events showed 18.5 requests on two copies for two seconds before the third was ordered.

Ruled out: rank of the loads (crowds do count as waiting), the store's limit (2.8 a second, not reached), forwarding (median to the first server a few ms).

Change: a further copy for 8 requests at once instead of 12; running requests are averaged over 0.4 s instead of 1 s; items in demand are reviewed each 0.25 s instead of 1 s. The tunables stand in daemons/forwarding_placement.py.

Tests: tests/controlplane/placement/test_options.py holds each option of placement against its default.

--- a/src/zincvale/controlplane/document_intent.py
+++ b/src/zincvale/controlplane/document_intent.py
@@ -26,7 +26,7 @@
 )
 from zincvale.model.view import Intent
 
-REQUESTS_PER_COPY = 12
+REQUESTS_PER_COPY = 8
 """Requests at once that one copy of a model serves within usual objectives; an engine has more
 slots, but reads prompts one after the other."""
 ADAPTER_LOADS_AT_ONCE = 256
--- a/src/zincvale/daemons/core_assembly.py
+++ b/src/zincvale/daemons/core_assembly.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+import random
+from pathlib import Path
+
 from zincvale.coordination.config import CoreConfig, InitialCore, NodeConfig, Timings
+from zincvale.daemons.process import DaemonProcess
 from zincvale.daemons.roles import CORE_ROLES
+from zincvale.daemons.storage_setup import open_disk
 from zincvale.model.identifiers import Address, MemberId, ZoneName
+from zincvale.runtime.clock import suspend_aware_now, wall_now
+from zincvale.runtime.logs import log
 from zincvale.runtime.settings import DaemonSettings
+from zincvale.storage.version_files import VersionFiles
+from zincvale.tracing.config import TracingConfig
+from zincvale.tracing.service import TracingService
 
 DEFAULT_GROUP_SIZE = 3
 
@@ -64,3 +74,31 @@
         topics=topics,
         timings=timings or Timings(),
     )
+
+
+def open_files(settings: DaemonSettings, random_source: random.Random) -> VersionFiles:
+    """Return the files of a core's state in its data folder."""
+    return VersionFiles(
+        Path(settings.data_folder),
+        open_disk(settings),
+        settings.cluster_id,
+        random_source,
+        lambda number, fields: log(number, **fields),
+    )
+
+
+def core_tracing(
+    settings: DaemonSettings, random_source: random.Random, process: DaemonProcess
+) -> TracingService:
+    """Return a core's recorder, connected to its peers; a core samples no requests of its own."""
+    service = TracingService(
+        MemberId(settings.member_id),
+        random_source,
+        suspend_aware_now,
+        wall_now,
+        process.peers.send,
+        TracingConfig(head_sampling=False),
+        log,
+    )
+    process.router.add_service("tracing", service.handle_message)
+    return service
--- a/src/zincvale/daemons/core_daemon.py
+++ b/src/zincvale/daemons/core_daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from pathlib import Path
 from typing import Any
 
 from tornado.ioloop import PeriodicCallback
@@ -33,7 +32,7 @@
 from zincvale.coordination.core_machine import CoreMachine
 from zincvale.coordination.replica_sets import INTENT_KEY
 from zincvale.daemons.api_http import ControlApiServer
-from zincvale.daemons.core_assembly import core_config
+from zincvale.daemons.core_assembly import core_config, core_tracing, open_files
 from zincvale.daemons.core_view import LocalCoreView
 from zincvale.daemons.demand_intake import demand_reported
 from zincvale.daemons.directory_runner import DirectoryRunner
@@ -43,7 +42,6 @@
 from zincvale.daemons.process import NO_DRAIN, build_process
 from zincvale.daemons.role_guard import RoleGuard
 from zincvale.daemons.roles import PLACEMENT_ROLE
-from zincvale.daemons.storage_setup import open_disk
 from zincvale.daemons.topic_publisher import TopicPublisher
 from zincvale.dataplane.policies.registry import policy_names
 from zincvale.model.errors import ZincvaleError
@@ -55,9 +53,6 @@
 from zincvale.runtime.incarnation import new_incarnation
 from zincvale.runtime.logs import log
 from zincvale.runtime.settings import DaemonSettings
-from zincvale.storage.version_files import VersionFiles
-from zincvale.tracing.config import TracingConfig
-from zincvale.tracing.service import TracingService
 
 SYSTEMS_INTERVAL_MS = 50
 
@@ -77,13 +72,7 @@
         self._settings = settings
         self._clock = suspend_aware_now
         self._random = random.Random(incarnation)
-        files = VersionFiles(
-            Path(settings.data_folder),
-            open_disk(settings),
-            settings.cluster_id,
-            self._random,
-            lambda number, fields: log(number, **fields),
-        )
+        files = open_files(settings, self._random)
         recovered = files.load()
         self.machine = CoreMachine(
             core_config(settings, incarnation, bootstrap, recover),
@@ -103,7 +92,7 @@
         )
         self._view = LocalCoreView(self.machine, self._clock)
         self._api = ControlApiServer(ControlApi(self._view), self.process.driver, self._clock)
-        self._tracing = self._build_tracing()
+        self._tracing = core_tracing(settings, self._random, self.process)
         self._build_systems()
         self._role_epoch = 0
         self._ticker = PeriodicCallback(self._tick, SYSTEMS_INTERVAL_MS)
@@ -116,20 +105,6 @@
         self.process.run(NO_DRAIN)
         self._ticker.stop()
 
-    def _build_tracing(self) -> TracingService:
-        settings = self._settings
-        service = TracingService(
-            MemberId(settings.member_id),
-            self._random,
-            self._clock,
-            wall_now,
-            self.process.peers.send,
-            TracingConfig(head_sampling=False),
-            log,
-        )
-        self.process.router.add_service("tracing", service.handle_message)
-        return service
-
     def _build_systems(self) -> None:
         settings = self._settings
         fetcher = HttpFetcher(settings.address_map, settings.member_id, settings.peer_address)
--- a/src/zincvale/daemons/forwarding_core.py
+++ b/src/zincvale/daemons/forwarding_core.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from pathlib import Path
 from typing import Any
 
 import attrs
@@ -20,7 +19,6 @@
     ServersSeen,
     reader_rank,
 )
-from zincvale.controlplane.placement.config import PlacementConfig
 from zincvale.controlplane.placement.controller import PlacementController
 from zincvale.controlplane.placement.events import (
     DirectoryChanged,
@@ -35,9 +33,10 @@
 from zincvale.coordination.messages import PublishTopic
 from zincvale.coordination.replica_sets import INTENT_KEY
 from zincvale.daemons.api_http import ControlApiServer
-from zincvale.daemons.core_assembly import core_config
+from zincvale.daemons.core_assembly import core_config, core_tracing, open_files
 from zincvale.daemons.core_view import LocalCoreView
 from zincvale.daemons.demand_intake import demand_reported
+from zincvale.daemons.forwarding_placement import placement_config
 from zincvale.daemons.forwarding_seams import ForwardingDialects
 from zincvale.daemons.http_fetch import HttpFetcher
 from zincvale.daemons.list_runner import ListRunner
@@ -47,7 +46,6 @@
 from zincvale.daemons.residency_rows import RESIDENCY_TOPIC, encode_residency
 from zincvale.daemons.role_guard import RoleGuard
 from zincvale.daemons.roles import PLACEMENT_ROLE
-from zincvale.daemons.storage_setup import open_disk
 from zincvale.daemons.topic_publisher import TopicPublisher
 from zincvale.model.errors import ZincvaleError
 from zincvale.model.forwarding import ForwardingDocument
@@ -60,16 +58,11 @@
 from zincvale.runtime.incarnation import new_incarnation
 from zincvale.runtime.logs import log
 from zincvale.runtime.settings import DaemonSettings
-from zincvale.storage.version_files import VersionFiles
-from zincvale.tracing.config import TracingConfig
-from zincvale.tracing.service import TracingService
 
 SYSTEMS_INTERVAL_MS = 50
 MACHINE_TICK_MS = 50
 SLOW_TICK_S = 0.25
 GRACE_MARGIN_S = 1.5
-ORDER_LIFETIME_S = 2.1
-"""Above the time-out of an order: after it no order of an earlier leader can arrive."""
 UNREACHABLE_ASK_S = 1.0
 HAND_OVER_S = 0.6
 """A stopping core still answers for so long, so that others take over by its word."""
@@ -98,13 +91,7 @@
         self._clock = suspend_aware_now
         self._random = random.Random(incarnation)
         self._name = f"{settings.member_id}/{incarnation}"
-        files = VersionFiles(
-            Path(settings.data_folder),
-            open_disk(settings),
-            settings.cluster_id,
-            self._random,
-            lambda number, fields: log(number, **fields),
-        )
+        files = open_files(settings, self._random)
         recovered = files.load()
         self.machine = CoreMachine(
             core_config(
@@ -134,7 +121,7 @@
         self._view = LocalCoreView(self.machine, self._clock)
         api = DocumentApi(self._view, dialects.operators, self._name)
         self._api = ControlApiServer(api, self.process.driver, self._clock)
-        self._build_tracing()
+        self._tracing = core_tracing(settings, self._random, self.process)
         self._build_systems()
         self._role_epoch = 0
         self._slow_due_at = 0.0
@@ -167,18 +154,6 @@
         """Take seeds that changed while the process runs."""
         self.machine.use_seeds(seeds)
 
-    def _build_tracing(self) -> None:
-        self._tracing = TracingService(
-            MemberId(self._settings.member_id),
-            self._random,
-            self._clock,
-            wall_now,
-            self.process.peers.send,
-            TracingConfig(head_sampling=False),
-            log,
-        )
-        self.process.router.add_service("tracing", self._tracing.handle_message)
-
     def _build_systems(self) -> None:
         settings = self._settings
         fetcher = HttpFetcher(settings.address_map, settings.member_id, settings.peer_address)
@@ -195,7 +170,9 @@
             self._send_to_cores,
             self._servers_seen,
         )
-        self._controller = PlacementController(self._random, self._placement_config())
+        self._controller = PlacementController(
+            self._random, placement_config(self._forwarding.order_quiet_s)
+        )
         self._placement = PlacementRunner(
             self._controller,
             fetcher,
@@ -213,35 +190,6 @@
         self.process.router.add_service("dataplane", self._demand_received)
         self.process.router.add_service("listed", self._list.message_received)
 
-    def _placement_config(self) -> PlacementConfig:
-        return PlacementConfig(
-            plan_interval_s=0.05,
-            order_lifetime_s=ORDER_LIFETIME_S,
-            orders_from_s=self._forwarding.order_quiet_s,
-            one_status_settles=True,
-            takeover_limit_s=ORDER_LIFETIME_S,
-            closing_wait_s=0.0,
-            min_residency_s=0.5,
-            servers_guard_unloads=True,
-            adapters_add_copies=True,
-            crowds_count_as_waiting=True,
-            fill_free_memory=False,
-            urgent_horizon_s=20.0,
-            store_burst_s=10.0,
-            max_loads_per_server=1,
-            kv_headroom_fraction=0.0,
-            kv_tokens_per_model=0,
-            fast_half_life_s=5.0,
-            concurrency_time_s=1.0,
-            review_interval_s=1.0,
-            slow_half_life_s=20.0,
-            status_interval_s=0.25,
-            finished_moves_kept=20,
-            undeclared_grace_s=600.0,
-            serial_orders=True,
-            confirms_orders=True,
-        )
-
     # --- inputs of the systems ------------------------------------------------------------
 
     def _after_input(self) -> None:
--- /dev/null
+++ b/src/zincvale/daemons/forwarding_placement.py
@@ -0,0 +1,49 @@
+"""Tunables of placement in a forwarding deployment.
+
+Its engines load a model within a second to a few, guard their own unloads and carry out one order
+at a time; demand shifts within seconds. So copies follow short averages, and all items in demand
+are reviewed often.
+"""
+
+from __future__ import annotations
+
+from zincvale.controlplane.placement.config import PlacementConfig
+
+ORDER_LIFETIME_S = 2.1
+"""Above the time-out of an order: after it no order of an earlier leader can arrive."""
+
+
+def placement_config(order_quiet_s: float) -> PlacementConfig:
+    """Return the tunables.
+
+    Parameters
+    ----------
+    order_quiet_s : a new leader gives no order before it has led for this long.
+    """
+    return PlacementConfig(
+        plan_interval_s=0.05,
+        order_lifetime_s=ORDER_LIFETIME_S,
+        orders_from_s=order_quiet_s,
+        one_status_settles=True,
+        takeover_limit_s=ORDER_LIFETIME_S,
+        closing_wait_s=0.0,
+        min_residency_s=0.5,
+        servers_guard_unloads=True,
+        adapters_add_copies=True,
+        crowds_count_as_waiting=True,
+        fill_free_memory=False,
+        urgent_horizon_s=20.0,
+        store_burst_s=10.0,
+        max_loads_per_server=1,
+        kv_headroom_fraction=0.0,
+        kv_tokens_per_model=0,
+        fast_half_life_s=5.0,
+        concurrency_time_s=0.4,
+        review_interval_s=0.25,
+        slow_half_life_s=20.0,
+        status_interval_s=0.25,
+        finished_moves_kept=20,
+        undeclared_grace_s=600.0,
+        serial_orders=True,
+        confirms_orders=True,
+    )
--- a/src/zincvale/platform/main.py
+++ b/src/zincvale/platform/main.py
@@ -5,13 +5,18 @@
 import os
 import sys
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from tornado.ioloop import PeriodicCallback
 
 from zincvale.model.errors import ZincvaleError
 from zincvale.platform.settings import ProcessSettings, load, settings_path
+from zincvale.platform.settings_watch import SettingsWatch
 from zincvale.runtime.logs import open_log
 
+if TYPE_CHECKING:
+    from zincvale.daemons.process import DaemonProcess
+
 SETTINGS_LOOK_MS = 2_000
 EXIT_USAGE = 2
 
@@ -64,26 +69,12 @@
 
 
 def _watch_settings(
-    role: str, use_seeds: Callable[[tuple[str, ...]], None], process: object
+    role: str, use_seeds: Callable[[tuple[str, ...]], None], process: DaemonProcess
 ) -> None:
     """Take the seeds anew when the file changed, or when a signal says so."""
-    seen = [_changed_at()]
-
-    def reload() -> None:
-        try:
-            use_seeds(tuple(load(role).daemon.seeds))
-        except ZincvaleError as error:
-            # A file that is being written: what was read before stays in use.
-            print(f"warning: {error}", file=sys.stderr)
-
-    def look() -> None:
-        changed_at = _changed_at()
-        if changed_at != seen[0]:
-            seen[0] = changed_at
-            reload()
-
-    process.on_reload = reload  # type: ignore[attr-defined]
-    PeriodicCallback(look, SETTINGS_LOOK_MS).start()
+    watch = SettingsWatch(_changed_at, lambda: tuple(load(role).daemon.seeds), use_seeds)
+    process.on_reload = watch.reload
+    PeriodicCallback(watch.look, SETTINGS_LOOK_MS).start()
 
 
 def _changed_at() -> int:
--- /dev/null
+++ b/tests/controlplane/placement/test_options.py
@@ -0,0 +1,154 @@
+"""The options of placement that a deployment chooses, each against the default."""
+
+from __future__ import annotations
+
+import attrs
+import testtools
+
+from tests.controlplane.placement.bench_world import (
+    GB,
+    STORE_ADDRESS,
+    Driver,
+    loads_in,
+    make_intent,
+    make_row,
+    orders_in,
+    unloads_in,
+)
+from zincvale.controlplane.placement.config import PlacementConfig
+from zincvale.controlplane.placement.events import (
+    Effect,
+    IntentChanged,
+    LeaderGained,
+    MarkClosing,
+    OrderAction,
+)
+from zincvale.model.resources import PoolSpec, StoreSpec
+
+SHORT_DAY = PlacementConfig(fill_free_memory=False, concurrency_time_s=0.4, review_interval_s=0.25)
+
+
+def driver_of(
+    config: PlacementConfig, models, servers=2, stores=None, adapters=None, resident=()
+) -> Driver:
+    rows = {
+        f"server-{number}": make_row(f"server-{number}", models=frozenset(resident))
+        for number in range(1, servers + 1)
+    }
+    return Driver(make_intent(models, adapters, stores), rows, config)
+
+
+def loads_until_settled(driver: Driver, seconds: float) -> list[Effect]:
+    effects: list[Effect] = []
+    for _ in range(round(seconds / 0.1)):
+        new = driver.tick(0.1)
+        effects += new
+        if orders_in(new):
+            driver.complete(orders_in(new))
+    return effects
+
+
+class CrowdTest(testtools.TestCase):
+    def crowded(self, config: PlacementConfig) -> list[tuple[str, str]]:
+        driver = driver_of(config, {"hot": 8}, resident=("hot",))
+        driver.report("server-2", models=frozenset())
+        driver.lead()
+        driver.demand(("hot", None, 30, 0), use=(("server-1", "hot", 30),))
+        return loads_in(driver.tick(0.6))
+
+    def test_a_crowd_gets_another_copy_at_once(self):
+        config = attrs.evolve(SHORT_DAY, crowds_count_as_waiting=True)
+        self.assertEqual([("server-2", "hot")], self.crowded(config))
+
+    def test_without_the_option_it_gets_it_with_the_slow_average(self):
+        config = attrs.evolve(SHORT_DAY, concurrency_time_s=60.0)
+        self.assertEqual([], self.crowded(config))
+
+
+class StoreWindowTest(testtools.TestCase):
+    def test_no_more_loads_begin_in_a_window_than_the_store_allows(self):
+        stores = {"weights": StoreSpec(STORE_ADDRESS, 1000 * GB, 8, loads_per_window=2, window_s=5)}
+        models = {f"rare-{number}": 4 for number in range(5)}
+        driver = driver_of(SHORT_DAY, models, stores=stores)
+        driver.lead()
+        driver.demand(*((name, None, 1, 1) for name in models))
+        first = loads_in(loads_until_settled(driver, 2.0))
+        self.assertEqual(2, len(first))
+        driver.demand(*((name, None, 0, 1) for name in models))
+        self.assertEqual([], loads_in(loads_until_settled(driver, 1.0)))
+        for _ in range(4):
+            driver.demand(*((name, None, 0, 1) for name in models))
+            loads_until_settled(driver, 1.0)
+        self.assertEqual(4, len(loads_in(driver.seen)))
+
+
+class AdapterSlotsTest(testtools.TestCase):
+    ADAPTERS = ("a1", "a2", "a3")
+
+    def copies(self, adapters_add_copies: bool) -> int:
+        config = attrs.evolve(SHORT_DAY, adapters_add_copies=adapters_add_copies)
+        adapters = dict.fromkeys(self.ADAPTERS, "base")
+        driver = driver_of(config, {"base": 8}, servers=3, adapters=adapters)
+        pools = {"chat": PoolSpec(max_concurrent_per_server=16, adapter_slots=2)}
+        driver.feed(IntentChanged(attrs.evolve(driver.intent, pools=pools)))
+        driver.lead()
+        driver.demand(("base", None, 1, 1))
+        loads_until_settled(driver, 0.3)
+        for _ in range(4):
+            driver.demand(("base", None, 0, 0), *(("base", name, 1, 0) for name in self.ADAPTERS))
+            loads_until_settled(driver, 1.0)
+        return sum("base" in row.models for row in driver.rows.values())
+
+    def test_adapters_that_do_not_fit_bring_another_copy(self):
+        self.assertEqual(2, self.copies(adapters_add_copies=True))
+
+    def test_without_the_option_one_copy_stays(self):
+        self.assertEqual(1, self.copies(adapters_add_copies=False))
+
+
+class SerialOrdersTest(testtools.TestCase):
+    def orders_at_once(self, serial: bool) -> int:
+        config = attrs.evolve(SHORT_DAY, serial_orders=serial, max_loads_per_server=4)
+        driver = driver_of(config, {"m1": 4, "m2": 4, "m3": 4}, servers=1)
+        driver.lead()
+        driver.demand(*((name, None, 1, 1) for name in ("m1", "m2", "m3")))
+        return len(orders_in(driver.tick(0.5)))
+
+    def test_the_next_order_waits_for_the_end_of_the_one_before(self):
+        self.assertEqual(1, self.orders_at_once(serial=True))
+
+    def test_without_the_option_orders_overlap(self):
+        self.assertEqual(3, self.orders_at_once(serial=False))
+
+
+class FirstOrderTest(testtools.TestCase):
+    def test_a_new_leader_waits_out_the_orders_of_the_one_before(self):
+        config = attrs.evolve(SHORT_DAY, orders_from_s=3.0, one_status_settles=True)
+        driver = driver_of(config, {"m1": 4}, servers=1)
+        driver.feed(LeaderGained(1, driver.now + 2.0))
+        began = driver.now
+        while driver.now < began + 6.0 and not orders_in(driver.seen):
+            driver.report()
+            driver.demand(("m1", None, 0, 1))
+            driver.tick(0.1)
+        self.assertEqual([("server-1", "m1")], loads_in(driver.seen))
+        self.assertGreaterEqual(driver.now - began, 3.0)
+
+
+class GuardedUnloadTest(testtools.TestCase):
+    def unloading(self, guarded: bool) -> list[Effect]:
+        config = attrs.evolve(SHORT_DAY, servers_guard_unloads=guarded, closing_wait_s=0.0)
+        driver = driver_of(config, {"old": 30, "new": 30}, servers=1, resident=("old",))
+        driver.lead()
+        driver.demand(("new", None, 1, 1))
+        return driver.tick(0.5)
+
+    def test_a_server_that_guards_itself_gets_the_order_at_once(self):
+        self.assertEqual([("server-1", "old")], unloads_in(self.unloading(guarded=True)))
+
+    def test_else_every_node_must_have_reported_since(self):
+        effects = self.unloading(guarded=False)
+        self.assertEqual(
+            [], [o for o in orders_in(effects) if o.order.action is OrderAction.UNLOAD]
+        )
+        self.assertTrue(any(isinstance(effect, MarkClosing) for effect in effects))
--- a/tests/controlplane/test_documents.py
+++ b/tests/controlplane/test_documents.py
@@ -21,7 +21,7 @@
     EvacuationChange,
     encode_change,
 )
-from zincvale.controlplane.document_intent import DocumentIntent, StoreTerms
+from zincvale.controlplane.document_intent import REQUESTS_PER_COPY, DocumentIntent, StoreTerms
 from zincvale.controlplane.document_reducer import DocumentReducer
 from zincvale.controlplane.document_rows import DocumentDecoder, source_document
 from zincvale.coordination.changes import KeyView
@@ -179,6 +179,19 @@
         self.assertEqual(0, intent.stores["p/adapters"].loads_per_window)
         self.assertEqual(8, intent.pools["p"].adapter_slots)
 
+    def requests_per_copy(self, slots: int) -> int:
+        engine = Engine(slots, 1000, 300, 8, 4.0, {"m": EngineModel(100, 0.5, (), 3)})
+        pools = [DeclaredPool(ForwardPool("p", engine=engine), {})]
+        document = Document().taken(whole(0, 5, route("a"), pools=pools))
+        typed = DocumentDecoder().update(3, document.rows)
+        return (
+            DocumentIntent(StoreTerms(5.0, 1.1)).update(typed).pools["p"].max_concurrent_per_server
+        )
+
+    def test_copies_are_counted_by_fewer_requests_than_an_engine_has_slots(self):
+        self.assertEqual(REQUESTS_PER_COPY, self.requests_per_copy(slots=64))
+        self.assertEqual(2, self.requests_per_copy(slots=2))
+
 
 class FakeView:
     def __init__(self):
--- a/tests/coordination/test_hand_over.py
+++ b/tests/coordination/test_hand_over.py
@@ -112,5 +112,5 @@
                 cluster.start_core(core, bootstrap=True)
             for node in nodes:
                 cluster.start_node(node)
-            self.assertTrue(cluster.run_until(cluster.all_ready, 1.5), seed)
+            self.assertTrue(cluster.run_until(cluster.all_ready, 1.0), seed)
             self.assertEqual([1, 1, 1], [node.intent().version for node in cluster.nodes()])
