Fleet checks: two relaxations taken back

Cause: counted cold refusals by the second instead of by server start (invariant 11), listed at-most-once streams that end early as not checked instead of broken (invariant 4). Neither was replaced by a check as strict, though the rule is that none is weakened. Change: both checks are as they were first; their tests hold the strict reading. Figures: tests/fleet pass. `make demo` was not run: it may now fail by 4 or 11, as it did first. Conclusion: whatever the demo shows next is by the strict checks.

--- a/src/zincvale/fleet/invariants/limits.py
+++ b/src/zincvale/fleet/invariants/limits.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 import attrs
 
 from zincvale.fleet.invariants.evidence import Evidence, StoreLimit
@@ -29,8 +27,7 @@
 TITLE = "no server over its memory, no store pulled too fast, no cold server flooded"
 
 COLD_REFUSALS_ALLOWED = 3
-"""Refusals as cold that a server may give within a second: its load is observed with a delay."""
-COLD_WINDOW_S = 1.0
+"""Refusals as cold that one incarnation may give: the state is observed with a delay."""
 RATE_TOLERANCE = 1.1
 """Bytes on their way when a pull is journalled; a share of the store's rate."""
 SHORTEST_BUSY_PERIOD_S = 1.0
@@ -44,13 +41,13 @@
 
     capacity_bytes: int = 0
     held: dict[str, int] = attrs.field(factory=dict)
-    cold_refusals: deque[float] = attrs.field(factory=deque)
+    cold_refusals: int = 0
 
     def restart(self, capacity_bytes: int) -> None:
         """Forget everything: the server came back empty."""
         self.capacity_bytes = capacity_bytes
         self.held.clear()
-        self.cold_refusals.clear()
+        self.cold_refusals = 0
 
 
 def check(evidence: Evidence) -> CheckResult:
@@ -109,15 +106,10 @@
 def _check_cold_refusal(result: CheckResult, memory: ServerMemory, row: RequestRefused) -> None:
     if row.error != COLD_ERROR:
         return
-    recent = memory.cold_refusals
-    recent.append(row.t)
-    while recent[0] <= row.t - COLD_WINDOW_S:
-        recent.popleft()
-    if len(recent) == COLD_REFUSALS_ALLOWED + 1:
+    memory.cold_refusals += 1
+    if memory.cold_refusals == COLD_REFUSALS_ALLOWED + 1:
         result.breach(
-            row.server_id,
-            row.t,
-            f"refused more than {COLD_REFUSALS_ALLOWED} requests as cold within a second",
+            row.server_id, row.t, f"refused more than {COLD_REFUSALS_ALLOWED} requests as cold"
         )
 
 
--- a/src/zincvale/fleet/invariants/streams.py
+++ b/src/zincvale/fleet/invariants/streams.py
@@ -2,8 +2,7 @@
 
 A chat is lost when its caller got at least one piece, gave up, and the whole answer never came,
 although the caller went on resuming while the run lasted. A stream refused before its first piece
-is over: its caller starts again under a new id. A stream of an at-most-once route may end early:
-to go on elsewhere would be to run it again.
+is over: its caller starts again under a new id.
 """
 
 from __future__ import annotations
@@ -30,31 +29,11 @@
         attempts.setdefault(received.request_id, []).append(received)
         _check_pieces(result, received)
         unnumbered += received.splices is None
-    unfinished = 0
-    ended_early = 0
-    for received_all in attempts.values():
-        if _is_at_most_once(evidence, received_all[-1]):
-            ended_early += _was_given_up(received_all)
-        else:
-            unfinished += _check_end(result, received_all)
+    unfinished = sum(_check_end(result, received) for received in attempts.values())
     _note_gaps(result, unnumbered, unfinished, len(streamed) - len(attempts))
-    if ended_early:
-        result.not_checked.append(
-            f"{ended_early} at-most-once streams ended early, as they may rather than run again"
-        )
     return result
 
 
-def _is_at_most_once(evidence: Evidence, received: ResultReceived) -> bool:
-    promise = evidence.expectations.routes.get(received.route)
-    return promise is not None and promise.at_most_once
-
-
-def _was_given_up(attempts: list[ResultReceived]) -> bool:
-    last = attempts[-1]
-    return bool(last.final and last.pieces_in_all and not last.complete)
-
-
 def _check_pieces(result: CheckResult, received: ResultReceived) -> None:
     wrong = {
         "skipped": received.skips,
--- a/tests/fleet/test_control_invariants.py
+++ b/tests/fleet/test_control_invariants.py
@@ -228,9 +228,11 @@
             return [row(t, "refuse", "s1", request_id=f"r{t}", error="cold") for t in times]
 
         spread = limits.check(evidence(start(), *refused(1, 2, 3, 4, 5)))
-        self.assertEqual([], spread.breaches)
+        self.assertEqual(1, len(spread.breaches))
         flooded = limits.check(evidence(start(), *refused(1, 1.1, 1.2, 1.3)))
         self.assertEqual(1, len(flooded.breaches))
+        few = limits.check(evidence(start(), *refused(1, 2, 3)))
+        self.assertEqual([], few.breaches)
 
 
 class AllChecksTest(testtools.TestCase):
--- a/tests/fleet/test_request_invariants.py
+++ b/tests/fleet/test_request_invariants.py
@@ -167,7 +167,7 @@
         checked = self.stream(result(2, "c1", "refused", final=True, **self.piece_check()))
         self.assertEqual([], checked.breaches)
 
-    def test_an_at_most_once_stream_may_end_early(self) -> None:
+    def test_an_at_most_once_stream_that_ends_early_breaks_too(self) -> None:
         checked = self.stream(
             result(
                 2,
@@ -179,8 +179,7 @@
                 **self.piece_check(),
             )
         )
-        self.assertEqual([], checked.breaches)
-        self.assertIn("1 at-most-once streams ended early", checked.not_checked[0])
+        self.assertIn("lost after 3 pieces", checked.breaches[0].what)
 
     def test_a_stream_still_open_at_the_end_is_named(self) -> None:
         checked = self.stream(
