--- a/src/zincvale/daemons/list_runner.py
+++ b/src/zincvale/daemons/list_runner.py
@@ -117,6 +117,9 @@
             page = read.next_page
             if not page:
                 break
+        else:
+            self._failed(f"more than {MAX_PAGES} pages", False)
+            return
         now = self._clock()
         self._carry_out(self.machine.list_read(servers, asked_at, now, self._wall_clock()))
 
--- /dev/null
+++ b/tests/daemons/test_list_runner.py
@@ -0,0 +1,123 @@
+"""Reading the list of servers: pages, failures, and what other cores are told."""
+
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from zincvale.controlplane.directory_messages import ListRead
+from zincvale.controlplane.listed_servers import ListedServer, ListedServers
+from zincvale.coordination.messages import PublishTopic, TopicPublished
+from zincvale.daemons.forwarding_seams import ListPage
+from zincvale.daemons.http_fetch import FetchResult
+from zincvale.daemons.list_runner import MAX_PAGES, ListRunner
+from zincvale.model.errors import MalformedBody
+
+ADDRESS = "10.0.9.9:80"
+NO_ANSWER = FetchResult(0, b"", "nobody listens", False)
+
+
+class PagesDialect:
+    """A body is `servers|next`: names separated by commas, and the next page's token."""
+
+    def list_path(self, page):
+        return f"/list/{page}"
+
+    def read_page(self, body):
+        names, separator, token = body.decode().partition("|")
+        if not separator:
+            raise MalformedBody("no separator", "ask again")
+        servers = [
+            ListedServer(name, f"10.0.0.1:{name[1:]}", "p", "z1") for name in names.split(",")
+        ]
+        return ListPage(servers, token)
+
+    def is_throttled(self, result):
+        return result.status == 429
+
+
+class FakeFetcher:
+    def __init__(self, answers):
+        self.answers = answers
+        self.asked = []
+
+    async def get(self, address, path, timeout_s):
+        self.asked.append(path)
+        return self.answers(path) if callable(self.answers) else self.answers.pop(0)
+
+
+class FakeDriver:
+    def __init__(self):
+        self.published = []
+
+    async def call_local(self, message):
+        self.published.append(message)
+        return TopicPublished(True, 1)
+
+
+def answer(body: str) -> FetchResult:
+    return FetchResult(200, body.encode())
+
+
+class ListRunnerTest(testtools.TestCase):
+    def read_with(self, answers, readings: int = 1) -> ListRunner:
+        """Let one core read the list as often as it wants to within a few virtual seconds."""
+        self.now = 100.0
+        self.driver = FakeDriver()
+        self.fetcher = FakeFetcher(answers)
+        self.told: list[object] = []
+        self.seen: list[object] = []
+        runner = ListRunner(
+            ListedServers("core-1/a", 0.8, self.now),
+            PagesDialect(),
+            self.fetcher,
+            ADDRESS,
+            self.driver,
+            lambda: self.now,
+            lambda: 1_000_000.0 + self.now,
+            self.told.append,
+            self.seen.append,
+        )
+
+        async def main() -> None:
+            for _ in range(readings):
+                self.now += 2.0
+                runner.tick(0, 0, self.now)
+                for _ in range(MAX_PAGES + 10):
+                    await asyncio.sleep(0)
+
+        asyncio.run(main())
+        return runner
+
+    def names(self, runner: ListRunner) -> list[str]:
+        return sorted(runner.machine.rows)
+
+    def test_every_page_is_read(self) -> None:
+        runner = self.read_with([answer("s1,s2|next"), answer("s3|")])
+        self.assertEqual(["/list/", "/list/next"], self.fetcher.asked)
+        self.assertEqual(["s1", "s2", "s3"], self.names(runner))
+
+    def test_what_was_read_is_published_and_the_other_cores_are_told(self) -> None:
+        self.read_with([answer("s1|")])
+        self.assertIsInstance(self.driver.published[0], PublishTopic)
+        self.assertIn(ListRead, [type(each) for each in self.told])
+
+    def test_half_a_list_changes_nothing(self) -> None:
+        runner = self.read_with([answer("s1,s2|"), answer("s1|next"), NO_ANSWER], readings=2)
+        self.assertEqual(["s1", "s2"], self.names(runner))
+
+    def test_a_page_that_cannot_be_read_changes_nothing(self) -> None:
+        runner = self.read_with([answer("s1,s2|"), answer("garbage")], readings=2)
+        self.assertEqual(["s1", "s2"], self.names(runner))
+
+    def test_pages_that_never_end_are_given_up(self) -> None:
+        runner = self.read_with(lambda path: answer("s1|again"))
+        self.assertEqual(MAX_PAGES, len(self.fetcher.asked))
+        self.assertEqual([], self.names(runner))
+
+    def test_without_an_address_nothing_is_read(self) -> None:
+        runner = self.read_with([NO_ANSWER])
+        runner._address = ""
+        runner.tick(0, 0, self.now + 10.0)
+        self.assertEqual(1, len(self.fetcher.asked))
