Placement: after a change of leader only a server's own word settles it, and its count goes with it

Ruled out: two leaders at once, late orders of the first one, the sizes in the document. Change: rows of the list never settle a server and count as old as the list may be; the count of orders comes only from statuses that are fed to the controller; an order of an earlier lease explains nothing. Tests: StatusTest and ListedTest, which fail without the change; tests/daemons and the placement options pass, the whole suite is running at this commit.

--- a/src/zincvale/controlplane/placement/events.py
+++ b/src/zincvale/controlplane/placement/events.py
@@ -39,11 +39,14 @@
         when this process sent the status question, or, for a row relayed by a prober, when this
         process asked the prober, less the row's age in the prober's answer.
     unloading : names of models and adapters being unloaded.
+    is_own_word : the server itself said so. What a list says of it may trail behind an order of an
+        earlier leader, so a list never settles a server.
     """
 
     row: ServerRow
     asked_at: float
     unloading: frozenset[str] = frozenset()
+    is_own_word: bool = True
 
 
 @attrs.frozen
--- a/src/zincvale/controlplane/placement/report_intake.py
+++ b/src/zincvale/controlplane/placement/report_intake.py
@@ -54,7 +54,8 @@
         _take_incarnation(world, server, row, now)
     _take_row(world, server, row)
     _take_holdings(world, server, report, now)
-    note_answer(world, server, report.asked_at, now)
+    if report.is_own_word:
+        note_answer(world, server, report.asked_at, now)
 
 
 def _new_server(world: World, row: ServerRow) -> ServerState:
--- a/src/zincvale/daemons/forwarding_core.py
+++ b/src/zincvale/daemons/forwarding_core.py
@@ -219,7 +219,9 @@
     def _servers_seen(self, seen: ServersSeen) -> None:
         """Feed placement; a settled server's own holdings change only by our orders."""
         reports = tuple(
-            StatusReport(_for_placement(row), self._told_at(row, seen.asked_at))
+            StatusReport(
+                _for_placement(row), self._told_at(seen.asked_at), frozenset(), is_own_word=False
+            )
             for row in seen.rows
             if row.draining
             or not (self._is_settled(row.server) or row.server in self._ask_again_at)
@@ -238,8 +240,9 @@
             and (state.settled_epoch == self._role_epoch)
         )
 
-    def _told_at(self, row: ServerRow, asked_at: float) -> float:
-        return asked_at if self._role_epoch else float("-inf")
+    def _told_at(self, asked_at: float) -> float:
+        """Return the time that a row of the list certainly is not older than, while leading."""
+        return asked_at - self._forwarding.list_lag_s if self._role_epoch else float("-inf")
 
     def _pass_on_demand(self, sender: MemberId, report: Any) -> None:
         """Hand a node's report to the leader; what another core passed on goes no further."""
--- a/src/zincvale/daemons/placement_runner.py
+++ b/src/zincvale/daemons/placement_runner.py
@@ -152,7 +152,7 @@
         if reply is OrderReply.TAKEN and effect.server in self._sequences:
             self._sequences[effect.server] += 1
         if reply is not OrderReply.TAKEN:
-            self._carried_out.pop(effect.server, None)
+            self._forget(effect.server, order)
         self._feed_reply(order, reply)
         if reply in (OrderRefusal.NOT_CONNECTED, OrderReply.UNKNOWN):
             self._on_reached(effect.server, False)
@@ -193,19 +193,25 @@
         step_s = FIRST_STEP_S
         while self._clock() - began_at < CONFIRM_LIMIT_S:
             if not self._publisher.guard.may_act(order.epoch):
+                self._forget(effect.server, order)
                 return
             reply = await self._give(effect, row, None)
             if reply is OrderReply.DONE:
-                self._carried_out.pop(effect.server, None)
+                self._forget(effect.server, order)
                 self._feed_reply(order, reply)
                 return
             if reply not in (OrderRefusal.BUSY, OrderReply.TAKEN):
                 break
             await gen.sleep(step_s)
             step_s = min(LONGEST_STEP_S, step_s * 1.5)
-        self._carried_out.pop(effect.server, None)
+        self._forget(effect.server, order)
         self.feed(OrderUnknown(order.order_id))
 
+    def _forget(self, server: ServerId, order: Order) -> None:
+        """The order is not under way, as far as this process knows; a later one may be."""
+        if self._carried_out.get(server) is order:
+            del self._carried_out[server]
+
     def _first_look_s(self, order: Order) -> float:
         if order.action is OrderAction.LOAD and order.item_kind is ItemKind.MODEL:
             return max(SHORT_ORDER_S, self._expected_load_s(order) * FIRST_LOOK_PART)
@@ -234,14 +240,26 @@
         if reading is None:
             return
         self._on_reached(effect.server, True)
-        if reading.sequence is not None:
-            self._sequences[effect.server] = reading.sequence
-        own = self._carried_out.get(effect.server)
+        own = self._order_under_way(effect.server)
         if reading.is_busy and own is None:
-            # Somebody else's order is under way: nothing can be told from this status.
+            # Somebody else's order is under way: nothing can be told from this status. Its count of
+            # orders must not be taken either: the next order would pass as if its end were known.
             return
+        if reading.sequence is not None:
+            self._sequences[effect.server] = reading.sequence
         self.feed(DirectoryChanged((_report(reading, own, asked_at),)))
 
+    def _order_under_way(self, server: ServerId) -> Order | None:
+        """Return the order that this process gave the server under the lease it still holds.
+
+        One from an earlier lease says nothing any more: another leader may have ordered since.
+        """
+        own = self._carried_out.get(server)
+        if own is None or self._publisher.guard.may_act(own.epoch):
+            return own
+        del self._carried_out[server]
+        return None
+
     def _read(self, row: ServerRow, result: FetchResult) -> StatusReading | None:
         try:
             return self._orders.read_status(row, result)
--- a/tests/controlplane/placement/test_options.py
+++ b/tests/controlplane/placement/test_options.py
@@ -17,11 +17,13 @@
 )
 from zincvale.controlplane.placement.config import PlacementConfig
 from zincvale.controlplane.placement.events import (
+    DirectoryChanged,
     Effect,
     IntentChanged,
     LeaderGained,
     MarkClosing,
     OrderAction,
+    StatusReport,
 )
 from zincvale.model.resources import PoolSpec, StoreSpec
 
@@ -135,6 +137,24 @@
         self.assertGreaterEqual(driver.now - began, 3.0)
 
 
+class ListedTest(testtools.TestCase):
+    def test_a_list_tells_of_servers_but_does_not_settle_them(self):
+        config = attrs.evolve(SHORT_DAY, one_status_settles=True)
+        driver = driver_of(config, {"m1": 4}, servers=1)
+        driver.feed(LeaderGained(1, driver.now + 2.0))
+        driver.demand(("m1", None, 1, 1))
+        for _ in range(60):
+            row = driver.rows["server-1"]
+            listed = StatusReport(row, driver.now, is_own_word=False)
+            driver.feed(DirectoryChanged((listed,)))
+            driver.demand(("m1", None, 0, 1))
+            driver.tick(0.1)
+        self.assertEqual([], loads_in(driver.seen))
+        driver.report()
+        driver.tick(0.2)
+        self.assertEqual([("server-1", "m1")], loads_in(driver.seen))
+
+
 class GuardedUnloadTest(testtools.TestCase):
     def unloading(self, guarded: bool) -> list[Effect]:
         config = attrs.evolve(SHORT_DAY, servers_guard_unloads=guarded, closing_wait_s=0.0)
--- a/tests/daemons/test_placement_runner.py
+++ b/tests/daemons/test_placement_runner.py
@@ -10,6 +10,8 @@
 
 from tests.controlplane.placement.bench_world import make_row
 from zincvale.controlplane.placement.events import (
+    AskStatus,
+    DirectoryChanged,
     Order,
     OrderAccepted,
     OrderAction,
@@ -21,7 +23,7 @@
 from zincvale.controlplane.placement.items import ItemKind
 from zincvale.daemons.http_fetch import FetchResult
 from zincvale.daemons.placement_runner import CONFIRM_LIMIT_S, FIRST_LOOK_PART, PlacementRunner
-from zincvale.daemons.server_orders import HttpCall, OrderReply
+from zincvale.daemons.server_orders import HttpCall, OrderReply, StatusReading
 
 LOAD_S = 0.8
 REPLIES = {
@@ -36,6 +38,7 @@
 
 class RepeatingOrders:
     confirms_by_repeating = True
+    reading: StatusReading | None = None
 
     def order_call(self, order, row, holder, sequence):
         return HttpCall(f"/orders/{sequence}", b"")
@@ -47,7 +50,7 @@
         return HttpCall("/status", b"")
 
     def read_status(self, row, result):
-        return None
+        return self.reading
 
 
 class World:
@@ -60,6 +63,7 @@
         self.fed: list[object] = []
         self.reached: list[tuple[str, bool]] = []
         self.leads = True
+        self.orders = RepeatingOrders()
         self.runner = PlacementRunner(
             SimpleNamespace(handle=self.handle),
             SimpleNamespace(call=self.call),
@@ -68,7 +72,7 @@
             lambda: self.now,
             lambda server: make_row(server),
             SimpleNamespace(),
-            RepeatingOrders(),
+            self.orders,
             "core-1",
             lambda order: LOAD_S,
             lambda server: None,
@@ -93,6 +97,32 @@
             asyncio.run(self.runner._send_order(effect))
         return self
 
+    def ask(self, is_busy: bool, sequence: int) -> None:
+        self.orders.reading = StatusReading(
+            make_row("server-1"), frozenset(), 0.0, is_busy, sequence
+        )
+        asyncio.run(self.runner._ask_status(AskStatus("server-1", "10.0.0.1:9000")))
+
+
+class StatusTest(testtools.TestCase):
+    def test_while_anothers_order_is_under_way_nothing_is_learned(self) -> None:
+        """Else the next order would pass by its count, planned on what was there before."""
+        world = World(200)
+        world.ask(is_busy=False, sequence=4)
+        world.ask(is_busy=True, sequence=5)
+        self.assertEqual(1, len([each for each in world.fed if isinstance(each, DirectoryChanged)]))
+        self.assertEqual(4, world.runner._sequences["server-1"])
+
+    def test_an_order_of_an_earlier_lease_does_not_explain_a_busy_server(self) -> None:
+        world = World(200)
+        world.runner._carried_out["server-1"] = ORDER
+        world.ask(is_busy=True, sequence=5)
+        self.assertEqual(1, len(world.fed))
+        world.leads = False
+        world.ask(is_busy=True, sequence=6)
+        self.assertEqual(1, len(world.fed))
+        self.assertEqual({}, world.runner._carried_out)
+
 
 class OrderTest(testtools.TestCase):
     def test_an_order_is_sent_again_about_when_it_should_be_done(self) -> None:
