Forwarding: one loop applies a request's inputs; names that nothing read are gone

`_feed` and `_carry_out_all` of a forwarded request were two copies of one loop; two constants, a field of `Wanted` and a field of the world were never read. Change: `_run` carries out effects and then the inputs that wait; the unread names are removed. Behaviour stays.

--- a/src/zincvale/dataplane/forwarding/budgets.py
+++ b/src/zincvale/dataplane/forwarding/budgets.py
@@ -12,9 +12,6 @@
 import attrs
 import xxhash
 
-WINDOW_PART_S = 0.5
-"""Requests are counted in parts of this length."""
-
 
 @attrs.frozen
 class RetryTerms:
--- a/src/zincvale/dataplane/forwarding/forwarded_request.py
+++ b/src/zincvale/dataplane/forwarding/forwarded_request.py
@@ -104,7 +104,7 @@
         loop = asyncio.get_running_loop()
         left_s = max(0.0, self._deadline_at - context.clock())
         self._timer = loop.call_later(left_s, self._feed, TimeOver())
-        self._carry_out_all(self._machine.begin())
+        self._run(self._machine.begin())
 
     def caller_left(self) -> None:
         """The caller closed its connection."""
@@ -167,25 +167,20 @@
 
     def _feed(self, event: Input) -> None:
         self._inputs.append(event)
-        if self._running:
-            return
-        self._running = True
-        try:
-            while self._inputs:
-                for effect in self._machine.handle(self._inputs.popleft()):
-                    self._carry_out(effect)
-        finally:
-            self._running = False
+        if not self._running:
+            self._run([])
 
-    def _carry_out_all(self, effects: list[Any]) -> None:
+    def _run(self, effects: list[Any]) -> None:
+        """Carry out `effects`, then apply every input that waits, in order."""
         self._running = True
         try:
             for effect in effects:
                 self._carry_out(effect)
+            while self._inputs:
+                for effect in self._machine.handle(self._inputs.popleft()):
+                    self._carry_out(effect)
         finally:
             self._running = False
-        if self._inputs:
-            self._feed(self._inputs.popleft())
 
     def _carry_out(self, effect: Any) -> None:
         match effect:
@@ -221,7 +216,6 @@
             self._facts.prompt,
             effect.excluded,
             self._deadline_at,
-            self._incoming.read_at,
         )
         if effect.is_repeat and not context.may_repeat(self._pool, now):
             self._inputs.append(NoServerFound(Blocked.BUSY, RETRY_BUDGET_SPENT_S))
--- a/src/zincvale/dataplane/forwarding/waiting_room.py
+++ b/src/zincvale/dataplane/forwarding/waiting_room.py
@@ -13,7 +13,6 @@
 
 LOAD_OVERHEAD_S = 0.5
 """What a load takes beyond its own time: the order, and word of its end."""
-ADAPTER_LOAD_S = 0.1
 LOAD_SLACK = 1.6
 """A load may take this much longer than expected before waiting for it is given up."""
 BUSY_PATIENCE_PART = 0.25
@@ -39,7 +38,6 @@
     prompt: Prompt | None
     excluded: frozenset[str]
     deadline_at: float
-    arrived_at: float
 
 
 OnFound = Callable[[Chosen], None]
--- a/src/zincvale/dataplane/forwarding/world.py
+++ b/src/zincvale/dataplane/forwarding/world.py
@@ -43,7 +43,6 @@
     by_pool: dict[str, list[ServerState]] = attrs.field(factory=dict)
     node_count: int = 1
     _nodes: list[str] = attrs.field(factory=list)
-    _members_version: int = 0
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _residencies: dict[ServerId, Residency] = attrs.field(factory=dict)
     _closing: Mapping[ServerId, frozenset[str]] = attrs.field(factory=dict)
--- a/tests/dataplane/forwarding/test_parts.py
+++ b/tests/dataplane/forwarding/test_parts.py
@@ -149,7 +149,7 @@
     def wanted(self, model="m", priority=0, deadline_at=4.0):
         prompt = make_prompt(model)
         route = make_route(priority=priority)
-        return Wanted(route, "p", prompt, frozenset(), deadline_at, 0.0)
+        return Wanted(route, "p", prompt, frozenset(), deadline_at)
 
     def room(self):
         return WaitingRoom(lambda name: make_pool(name))
