Tests: the island test is the first one again; mutations must show in a third of the schedules

Cause: eased two checks. The island test waited for a settled registry instead of 2 s, so a cut during a change of the registry was no longer tried. And directed scenarios grew from three schedules to nine while one catch was still enough, so a mutation could be noticed in one of nine instead of one of three; "deliver-unchosen" shows in none of the first three. Change: the 2 s are back (the test holds on this tree); a new test cuts the island off at five moments from 0 to 1.5 s after the start, three seeds each: nothing is acknowledged. A mutation must be noticed in at least 3 of its 9 schedules.

--- a/tests/coordination/test_failures.py
+++ b/tests/coordination/test_failures.py
@@ -5,7 +5,6 @@
 import testtools
 
 from tests.coordination.pump import CORES, Cluster
-from zincvale.coordination.registry import MEMBER, decode_row
 
 NO_SPACE = "No space left on device"
 
@@ -132,13 +131,6 @@
 
 
 class IslandsTest(testtools.TestCase):
-    def registry_is_settled(self, cluster: Cluster) -> bool:
-        """Whether all five nodes are registered for good, and every node knows it."""
-        rows = cluster.core("core-1").value("registry").rows
-        members = [row for row in rows.values() if decode_row(row).state == MEMBER]
-        held = [node.value("registry").rows for node in cluster.nodes()]
-        return len(members) == 5 and all(each == rows for each in held)
-
     def test_a_minority_island_turns_unready_and_changes_go_on(self) -> None:
         cluster = Cluster(nodes=5).started()
         cluster.run(2.0)
@@ -152,7 +144,7 @@
 
     def test_a_majority_island_serves_and_nothing_is_acknowledged(self) -> None:
         cluster = Cluster(nodes=5).started()
-        self.assertTrue(cluster.run_until(lambda: self.registry_is_settled(cluster), 10.0))
+        cluster.run(2.0)
         island = ["node-1", "node-2", "node-3"]
         cluster.isolate(island)
         result = cluster.change("core-1", "o1", {"a": "1"})
@@ -164,6 +156,16 @@
         cluster.run(3.0)
         self.assertEqual("in-force", cluster.change("core-1", "o1", {"a": "1"}).status)
 
+    def test_nothing_is_acknowledged_over_a_majority_island_cut_off_at_any_moment(self) -> None:
+        """Also while the registry still takes the nodes in."""
+        for seed in range(1, 4):
+            for began_s in (0.0, 0.3, 0.7, 1.0, 1.5):
+                cluster = Cluster(seed=seed, nodes=5).started()
+                cluster.run(began_s)
+                cluster.isolate(["node-1", "node-2", "node-3"])
+                result = cluster.change("core-1", "o1", {"a": "1"})
+                self.assertEqual("not-confirmed", result.status, (seed, began_s))
+
     def test_a_node_without_a_core_is_fresh_through_a_peer(self) -> None:
         cluster = Cluster(nodes=3).started()
         cluster.run(2.0)
--- a/tests/simulator/test_mutations.py
+++ b/tests/simulator/test_mutations.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from zincvale.simulator.directed import directed_schedules
+from zincvale.simulator.directed import SEEDS_PER_CORE, directed_schedules
 from zincvale.simulator.mutations import MUTATIONS, first_catch
 from zincvale.simulator.register_exploration import explore_register, walk_register
 
@@ -48,9 +48,14 @@
         self.assertEqual(set(MUTATIONS), held)
 
     def test_the_scenarios_notice(self) -> None:
+        """In a third of the schedules at least, as one of three was enough for one seed a core."""
         for name, scenario in SCENARIO_BY_MUTATION.items():
-            caught = first_catch(MUTATIONS[name], directed_schedules(scenario))
-            self.assertIsNotNone(caught, name)
+            caught = [
+                schedule.seed
+                for schedule in directed_schedules(scenario)
+                if first_catch(MUTATIONS[name], [schedule]) is not None
+            ]
+            self.assertGreaterEqual(len(caught), SEEDS_PER_CORE, f"{name}: {caught}")
 
     def test_the_register_notices(self) -> None:
         for name in BY_THE_REGISTER:
