Control plane: fewer and cheaper exchanges between the processes

A node imports half of the core's modules. Ruled out: the machines' own systems (a tenth of a core's time), the codec (a tenth).

--- a/src/zincvale/controlplane/directory_rows.py
+++ b/src/zincvale/controlplane/directory_rows.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from zincvale.coordination.topics import LEADERLESS_PREFIX
 from zincvale.model.errors import InvalidInput
 from zincvale.model.identifiers import AdapterName, Address, ModelName, PoolName, ServerId, ZoneName
 from zincvale.model.resources import PoolKind
@@ -14,6 +15,8 @@
 
 DIRECTORY_TOPIC = "directory"
 """Name of the published table of servers."""
+LISTED_TOPIC = f"{LEADERLESS_PREFIX}servers"
+"""The same table where it follows a list that an outside system keeps."""
 
 
 def encode_server_row(row: ServerRow) -> bytes:
--- a/src/zincvale/controlplane/listed_servers.py
+++ b/src/zincvale/controlplane/listed_servers.py
@@ -17,10 +17,13 @@
 
 from zincvale.controlplane import log_events
 from zincvale.controlplane.directory_messages import ListRead
-from zincvale.controlplane.directory_rows import decode_server_row, encode_server_row
+from zincvale.controlplane.directory_rows import (
+    LISTED_TOPIC,
+    decode_server_row,
+    encode_server_row,
+)
 from zincvale.coordination.changes import TopicView
 from zincvale.coordination.messages import PublishTopic
-from zincvale.coordination.topics import LEADERLESS_PREFIX
 from zincvale.model.errors import InvalidInput
 from zincvale.model.forwarding import ForwardingDocument
 from zincvale.model.identifiers import (
@@ -36,7 +39,6 @@
 from zincvale.model.resources import PoolKind
 from zincvale.model.view import ServerHealth, ServerRow
 
-LISTED_TOPIC = f"{LEADERLESS_PREFIX}servers"
 READ_INTERVAL_S = 0.8
 SILENCE_S = 1.3
 """Without news of a reading for so long, the core of the first rank reads; a started core that
--- /dev/null
+++ b/src/zincvale/controlplane/placement/closing_rows.py
@@ -0,0 +1,48 @@
+"""What nodes read of the topic `moves`: copies that are about to be unloaded."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import orjson
+
+from zincvale.model.errors import MalformedBody
+from zincvale.model.identifiers import ServerId
+
+MOVES_TOPIC = "moves"
+UNLOAD = "unload"
+CLOSING_STATE_NAMES = frozenset({"closing", "ordered", "running", "unknown"})
+"""A copy is closing from the announcement of its unload until that move is finished."""
+
+
+class ClosingDecoder:
+    """Keeps what is closing at each server; reads only rows that changed."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, bytes] = {}
+        self._closing: dict[str, tuple[ServerId, str] | None] = {}
+
+    def update(self, rows: Mapping[str, bytes]) -> dict[ServerId, frozenset[str]]:
+        """Return the names that nodes must send nothing new for; raises `MalformedBody`."""
+        self._closing = {
+            move: self._closing[move] if self._rows.get(move) == content else _read(content)
+            for move, content in rows.items()
+        }
+        self._rows = dict(rows)
+        names: dict[ServerId, set[str]] = {}
+        for each in self._closing.values():
+            if each is not None:
+                names.setdefault(each[0], set()).add(each[1])
+        return {server: frozenset(closing) for server, closing in names.items()}
+
+
+def _read(content: bytes) -> tuple[ServerId, str] | None:
+    try:
+        row = orjson.loads(content)
+        is_closing = row["kind"] == UNLOAD and row["state"] in CLOSING_STATE_NAMES
+        return (ServerId(row["server"]), row["name"]) if is_closing else None
+    except (ValueError, KeyError, TypeError) as error:
+        raise MalformedBody(
+            f"a row of the topic moves cannot be read: {error}",
+            "run the same release on every machine",
+        ) from error
--- a/src/zincvale/controlplane/placement/move_rows.py
+++ b/src/zincvale/controlplane/placement/move_rows.py
@@ -12,6 +12,7 @@
 import attrs
 import orjson
 
+from zincvale.controlplane.placement.closing_rows import CLOSING_STATE_NAMES
 from zincvale.controlplane.placement.events import PublishMoves
 from zincvale.controlplane.placement.items import ItemKind
 from zincvale.controlplane.placement.moves import (
@@ -25,9 +26,7 @@
 from zincvale.model.identifiers import Address, MoveId, ServerId, StoreName, ZoneName
 
 TIME_FIELDS = ("created_at", "start_at", "expected_end", "answered_at", "finished_at")
-CLOSING_STATES = frozenset(
-    {MoveState.CLOSING, MoveState.ORDERED, MoveState.RUNNING, MoveState.UNKNOWN}
-)
+CLOSING_STATES = frozenset(MoveState(state) for state in CLOSING_STATE_NAMES)
 
 
 def encode_move(move: Move, wall_offset_s: float = 0.0) -> bytes:
--- a/src/zincvale/coordination/config.py
+++ b/src/zincvale/coordination/config.py
@@ -36,6 +36,8 @@
     poll_timeout_s: float = 12.0
     delta_batch_s: float = 0.02
     """News is collected for this long before long polls are answered."""
+    poll_answers_per_s: float = 0.0
+    """Bound of the answers that carry only topics and members, at one core; 0 for none."""
     role_lease_s: float = 6.0
     role_margin_s: float = 1.0
     role_renew_s: float = 2.0
--- a/src/zincvale/coordination/core_context.py
+++ b/src/zincvale/coordination/core_context.py
@@ -14,8 +14,7 @@
 from zincvale.coordination.register_replica import RegisterReplica
 from zincvale.coordination.replica_config import replica_id
 from zincvale.coordination.replica_sets import (
-    INTENT_KEY,
-    REGISTRY_KEY,
+    DELIVERED_KEYS,
     ROLE_KEY_PREFIX,
     ReplicaSets,
     decode_replica_sets,
@@ -26,9 +25,6 @@
 from zincvale.model.machine import Effect, Send
 from zincvale.model.view import Role
 
-DELIVERED_KEYS = (INTENT_KEY, REGISTRY_KEY)
-"""Keys that nodes hold and confirm."""
-
 
 @attrs.define
 class CoreContext:
--- a/src/zincvale/coordination/core_parts.py
+++ b/src/zincvale/coordination/core_parts.py
@@ -16,7 +16,7 @@
 from zincvale.coordination.catching_up import CatchingUp
 from zincvale.coordination.changes import Reducer
 from zincvale.coordination.chosen_values import ChosenValues
-from zincvale.coordination.core_context import DELIVERED_KEYS, CoreContext
+from zincvale.coordination.core_context import CoreContext
 from zincvale.coordination.core_leases import CoreLeases
 from zincvale.coordination.core_roles import CoreRoles
 from zincvale.coordination.core_statuses import CoreStatuses
@@ -32,7 +32,12 @@
 from zincvale.coordination.repair import Repair
 from zincvale.coordination.replica_manager import ReplicaManager
 from zincvale.coordination.replica_set_changes import reduce_replica_sets
-from zincvale.coordination.replica_sets import REGISTRY_KEY, REPLICA_SETS_KEY, ROLE_KEY_PREFIX
+from zincvale.coordination.replica_sets import (
+    DELIVERED_KEYS,
+    REGISTRY_KEY,
+    REPLICA_SETS_KEY,
+    ROLE_KEY_PREFIX,
+)
 from zincvale.coordination.role_lease import reduce_role
 from zincvale.model.machine import Effect
 
--- a/src/zincvale/coordination/core_systems.py
+++ b/src/zincvale/coordination/core_systems.py
@@ -4,13 +4,17 @@
 
 from collections.abc import Callable
 
-from zincvale.coordination.core_context import DELIVERED_KEYS
 from zincvale.coordination.core_parts import ROLE_PROPOSAL_PREFIX, CoreParts
 from zincvale.coordination.in_force import Waiter
 from zincvale.coordination.messages import IN_FORCE, ChangeResult, Chosen
 from zincvale.coordination.ownership_proof import Evaluated
 from zincvale.coordination.register_owner import ChosenNow, Phase, RegisterOwner
-from zincvale.coordination.replica_sets import REGISTRY_KEY, REPLICA_SETS_KEY, ROLE_KEY_PREFIX
+from zincvale.coordination.replica_sets import (
+    DELIVERED_KEYS,
+    REGISTRY_KEY,
+    REPLICA_SETS_KEY,
+    ROLE_KEY_PREFIX,
+)
 from zincvale.model.machine import Effect
 
 System = Callable[[CoreParts, float], list[Effect]]
@@ -112,7 +116,7 @@
 def _keep_leases(parts: CoreParts, now: float) -> list[Effect]:
     effects = parts.leases.tick(now)
     if parts.leases.members.refresh(now):
-        parts.delivery.note_news(now)
+        parts.delivery.note_soft_news(now)
     return effects
 
 
--- a/src/zincvale/coordination/core_topics.py
+++ b/src/zincvale/coordination/core_topics.py
@@ -59,4 +59,4 @@
 
     def _note_news(self, topic: str, now: float) -> None:
         self._context.notes.topics.add(topic)
-        self._delivery.note_news(now)
+        self._delivery.note_soft_news(now)
--- a/src/zincvale/coordination/delivery.py
+++ b/src/zincvale/coordination/delivery.py
@@ -14,6 +14,8 @@
 
 _Position = tuple[Hashable, ...]
 
+LONGEST_SOFT_REST_S = 0.5
+
 
 @attrs.frozen
 class _HeldPoll:
@@ -22,7 +24,12 @@
 
 
 class DeliveryHost:
-    """Holds long polls until there is news, collected for a batching interval."""
+    """Holds long polls until there is news, collected for a batching interval.
+
+    News of durable keys goes out at once. Soft news (topics and members) comes often, and each
+    piece of it costs an exchange with every poller; so that it takes a bounded part of this
+    process, it rests after an answer for as long as the pollers answered then are allowed to cost.
+    """
 
     def __init__(
         self,
@@ -37,6 +44,8 @@
         self._topics = topics
         self._held: dict[str, _HeldPoll] = {}
         self._news_since: float | None = None
+        self._soft_news_since: float | None = None
+        self._soft_rest_until = 0.0
         self.members_source = ""
         self.topic_epochs_seen: dict[str, int] = {}
         """The newest epoch of each topic that any poller holds."""
@@ -49,6 +58,9 @@
             if position.epoch > self.topic_epochs_seen.get(topic, 0):
                 self.topic_epochs_seen[topic] = position.epoch
         answer = self._answer(poll)
+        if answer is not None and self._may_rest(poll, answer, now):
+            self.note_soft_news(now)
+            answer = None
         if answer is None and self.isolated:
             answer = self._nothing()
         if answer is not None:
@@ -61,34 +73,56 @@
         self._held.pop(token, None)
 
     def note_news(self, now: float) -> None:
-        """Something changed that pollers may want."""
+        """A durable key moved, or something else that pollers must have soon."""
         if self._news_since is None:
             self._news_since = now
 
+    def note_soft_news(self, now: float) -> None:
+        """A topic or the members changed."""
+        if self._soft_news_since is None:
+            self._soft_news_since = now
+
     def answer_if_due(self, now: float) -> list[Effect]:
         """Answer polls with news once the batching interval is over."""
-        if self._news_since is None or now - self._news_since < self._timings.delta_batch_s:
-            return []
-        return self.tick(now)
+        return self.tick(now) if self._is_due(now) else []
 
     def tick(self, now: float) -> list[Effect]:
         """Answer polls with news once the batching interval is over, and those held long enough."""
         effects: list[Effect] = []
-        batch_over = (
-            self._news_since is not None and now - self._news_since >= self._timings.delta_batch_s
-        )
-        if batch_over:
-            self._news_since = None
+        is_due = self._is_due(now)
         answers: dict[_Position, PollAnswer | None] = {}
         for token, held in list(self._held.items()):
-            answer = self._answer_once(held.poll, answers) if batch_over else None
+            answer = self._answer_once(held.poll, answers) if is_due else None
             if answer is None and (now >= held.until or self.isolated):
                 answer = self._nothing()
             if answer is not None:
                 del self._held[token]
                 effects.append(Reply(token, answer))
+        if is_due:
+            self._news_since = self._soft_news_since = None
+            self._rest_soft_news(len(effects), now)
         return effects
 
+    def _is_due(self, now: float) -> bool:
+        batch_s = self._timings.delta_batch_s
+        if self._news_since is not None and now - self._news_since >= batch_s:
+            return True
+        if self._soft_news_since is None or now < self._soft_rest_until:
+            return False
+        return now - self._soft_news_since >= batch_s
+
+    def _rest_soft_news(self, answered: int, now: float) -> None:
+        rate = self._timings.poll_answers_per_s
+        if rate:
+            self._soft_rest_until = now + min(answered / rate, LONGEST_SOFT_REST_S)
+
+    def _may_rest(self, poll: Poll, answer: PollAnswer, now: float) -> bool:
+        """Whether this answer can wait for the others; a poller that knows nothing can not."""
+        if answer.keys or now >= self._soft_rest_until:
+            return False
+        is_new = not poll.members_source or any(not each.epoch for each in poll.topics.values())
+        return not is_new
+
     def _answer_once(
         self, poll: Poll, answers: dict[_Position, PollAnswer | None]
     ) -> PollAnswer | None:
--- a/src/zincvale/coordination/node_machine.py
+++ b/src/zincvale/coordination/node_machine.py
@@ -7,7 +7,6 @@
 from zincvale.coordination import log_events
 from zincvale.coordination.changes import ChangeNotes, KeyView, TopicView
 from zincvale.coordination.config import NodeConfig
-from zincvale.coordination.core_context import DELIVERED_KEYS
 from zincvale.coordination.delivery import DeliveryHost, table_delta
 from zincvale.coordination.member_rows import decode_member, decode_members
 from zincvale.coordination.messages import (
@@ -31,7 +30,7 @@
 from zincvale.coordination.node_lease import NodeLease
 from zincvale.coordination.node_poller import POLL_PREFIX, NodePoller
 from zincvale.coordination.registry import decode_row
-from zincvale.coordination.replica_sets import INTENT_KEY, REGISTRY_KEY
+from zincvale.coordination.replica_sets import DELIVERED_KEYS, INTENT_KEY, REGISTRY_KEY
 from zincvale.coordination.tables import Difference
 from zincvale.model.identifiers import Address, MemberId
 from zincvale.model.machine import (
--- a/src/zincvale/coordination/repair.py
+++ b/src/zincvale/coordination/repair.py
@@ -12,11 +12,11 @@
 
 import attrs
 
-from zincvale.coordination.core_context import DELIVERED_KEYS, CoreContext
+from zincvale.coordination.core_context import CoreContext
 from zincvale.coordination.messages import FetchValue, RenewLease
 from zincvale.coordination.register_owner import RegisterOwner
 from zincvale.coordination.registry import counting_sets
-from zincvale.coordination.replica_sets import REGISTRY_KEY, ROLE_KEY_PREFIX
+from zincvale.coordination.replica_sets import DELIVERED_KEYS, REGISTRY_KEY, ROLE_KEY_PREFIX
 from zincvale.model.identifiers import MemberId
 from zincvale.model.machine import Effect, Send
 
--- a/src/zincvale/coordination/replica_manager.py
+++ b/src/zincvale/coordination/replica_manager.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from zincvale.coordination.core_context import DELIVERED_KEYS, CoreContext
+from zincvale.coordination.core_context import CoreContext
 from zincvale.coordination.messages import CoreStatus
 from zincvale.coordination.register_owner import RegisterOwner
 from zincvale.coordination.replica_config import ReplicaConfig, member_of, replica_id
@@ -19,7 +19,7 @@
     leave_change,
     replace_change,
 )
-from zincvale.coordination.replica_sets import REPLICA_SETS_KEY
+from zincvale.coordination.replica_sets import DELIVERED_KEYS, REPLICA_SETS_KEY
 from zincvale.model.identifiers import MemberId
 
 CHECK_INTERVAL_S = 0.25
--- a/src/zincvale/coordination/replica_sets.py
+++ b/src/zincvale/coordination/replica_sets.py
@@ -19,6 +19,8 @@
 REPLICA_SETS_KEY = "replica-sets"
 REGISTRY_KEY = "registry"
 INTENT_KEY = "intent"
+DELIVERED_KEYS = (INTENT_KEY, REGISTRY_KEY)
+"""Keys that nodes hold and confirm."""
 ROLE_KEY_PREFIX = "role/"
 DEFAULT_GROUP = "default"
 CLUSTER_ROW = "cluster"
--- a/src/zincvale/daemons/core_assembly.py
+++ b/src/zincvale/daemons/core_assembly.py
@@ -5,7 +5,7 @@
 import random
 from pathlib import Path
 
-from zincvale.coordination.config import CoreConfig, InitialCore, NodeConfig, Timings
+from zincvale.coordination.config import CoreConfig, InitialCore, Timings
 from zincvale.daemons.process import DaemonProcess
 from zincvale.daemons.roles import CORE_ROLES
 from zincvale.daemons.storage_setup import open_disk
@@ -55,27 +55,6 @@
     )
 
 
-def node_config(
-    settings: DaemonSettings,
-    incarnation: str,
-    topics: tuple[str, ...] = ("directory", "moves"),
-    timings: Timings | None = None,
-) -> NodeConfig:
-    """Return the coordination machine's configuration of a node."""
-    return NodeConfig(
-        cluster_id=settings.cluster_id,
-        member=MemberId(settings.member_id),
-        incarnation=incarnation,
-        zone=ZoneName(settings.zone),
-        region=settings.region,
-        api_address=Address(settings.api_address),
-        peer_address=Address(settings.peer_address),
-        seeds=tuple(Address(seed) for seed in settings.seeds),
-        topics=topics,
-        timings=timings or Timings(),
-    )
-
-
 def open_files(settings: DaemonSettings, random_source: random.Random) -> VersionFiles:
     """Return the files of a core's state in its data folder."""
     return VersionFiles(
--- a/src/zincvale/daemons/core_view.py
+++ b/src/zincvale/daemons/core_view.py
@@ -7,14 +7,13 @@
 from zincvale.controlplane.core_view import ReplicaRow, RoleRow
 from zincvale.controlplane.directory_rows import DIRECTORY_TOPIC, DirectoryDecoder
 from zincvale.controlplane.intent_rows import IntentDecoder
+from zincvale.controlplane.placement.closing_rows import MOVES_TOPIC
 from zincvale.coordination.changes import KeyView
 from zincvale.coordination.core_machine import CoreMachine
 from zincvale.coordination.replica_sets import INTENT_KEY
 from zincvale.model.identifiers import Address, MemberId, ZoneName
 from zincvale.model.view import Directory, Intent, Members
 
-MOVES_TOPIC = "moves"
-
 
 class LocalCoreView:
     """Implements `controlplane.core_view.CoreView` on the local machine."""
--- a/src/zincvale/daemons/forwarding_core.py
+++ b/src/zincvale/daemons/forwarding_core.py
@@ -9,16 +9,12 @@
 from tornado.ioloop import PeriodicCallback
 from tornado.web import Application
 
+from zincvale.controlplane.directory_rows import LISTED_TOPIC
 from zincvale.controlplane.document_api import DocumentApi
 from zincvale.controlplane.document_intent import DocumentIntent, StoreTerms
 from zincvale.controlplane.document_reducer import DocumentReducer
 from zincvale.controlplane.document_rows import DocumentDecoder
-from zincvale.controlplane.listed_servers import (
-    LISTED_TOPIC,
-    ListedServers,
-    ServersSeen,
-    reader_rank,
-)
+from zincvale.controlplane.listed_servers import ListedServers, ServersSeen, reader_rank
 from zincvale.controlplane.placement.controller import PlacementController
 from zincvale.controlplane.placement.events import (
     DirectoryChanged,
@@ -30,7 +26,6 @@
 )
 from zincvale.coordination.config import Timings
 from zincvale.coordination.core_machine import CoreMachine
-from zincvale.coordination.messages import PublishTopic
 from zincvale.coordination.replica_sets import INTENT_KEY
 from zincvale.daemons.api_http import ControlApiServer
 from zincvale.daemons.core_assembly import core_config, core_tracing, open_files
@@ -43,7 +38,7 @@
 from zincvale.daemons.order_spans import OrderSpans
 from zincvale.daemons.placement_runner import PlacementRunner
 from zincvale.daemons.process import Drain, build_process
-from zincvale.daemons.residency_rows import RESIDENCY_TOPIC, encode_residency
+from zincvale.daemons.residency_publication import ResidencyPublication
 from zincvale.daemons.role_guard import RoleGuard
 from zincvale.daemons.roles import PLACEMENT_ROLE
 from zincvale.daemons.topic_publisher import TopicPublisher
@@ -128,8 +123,6 @@
         self._leaving_since = 0.0
         self._ask_again_at: dict[ServerId, float] = {}
         """Servers that could not be reached, and when they are asked again."""
-        self._touched: set[ServerId] = set()
-        self._published_residency: dict[str, bytes] = {}
         self._ticker = PeriodicCallback(self._tick, SYSTEMS_INTERVAL_MS)
 
     def run(self) -> None:
@@ -184,9 +177,12 @@
             self._dialects.orders,
             settings.member_id,
             self._expected_load_s,
-            lambda server: self._touched.add(server),
+            lambda server: self._residency.touch((server,)),
             self._server_reached,
         )
+        self._residency = ResidencyPublication(
+            lambda: self._controller.world.servers, self._placement.publish
+        )
         self.process.router.add_service("dataplane", self._demand_received)
         self.process.router.add_service("listed", self._list.message_received)
 
@@ -229,8 +225,8 @@
         for server in seen.gone:
             self._ask_again_at.pop(server, None)
         self._placement.feed(DirectoryChanged(reports, seen.gone))
-        self._touched.update(seen.gone)
-        self._touched.update(row.server for row in seen.rows)
+        self._residency.touch(seen.gone)
+        self._residency.touch(row.server for row in seen.rows)
 
     def _is_settled(self, server: ServerId) -> bool:
         state = self._controller.world.servers.get(server)
@@ -303,7 +299,8 @@
         epoch_seen = self.machine.topic_epoch_seen(LISTED_TOPIC)
         self._list.tick(self._reader_rank(now), epoch_seen, now)
         self._placement.feed(Tick())
-        self._publish_residency()
+        if self._role_epoch:
+            self._residency.publish_changes(self._role_epoch)
         if now >= self._slow_due_at:
             self._slow_due_at = now + SLOW_TICK_S
             self._api.tick(now)
@@ -324,8 +321,7 @@
             self._lose_role()
             self._role_epoch = state.epoch
             self._placement.epoch = state.epoch
-            self._published_residency = {}
-            self._touched.update(self._controller.world.servers)
+            self._residency.restart()
         self._placement.feed(LeaderGained(state.epoch, state.acts_until))
 
     def _lose_role(self) -> None:
@@ -334,25 +330,6 @@
             self._ask_again_at.clear()
             self._placement.feed(LeaderLost())
 
-    def _publish_residency(self) -> None:
-        """Tell the nodes what changed of the servers' holdings."""
-        if not self._role_epoch or not self._touched:
-            return
-        touched, self._touched = self._touched, set()
-        puts: dict[str, bytes] = {}
-        deletes: list[str] = []
-        for server in touched:
-            state = self._controller.world.servers.get(server)
-            if state is None:
-                if self._published_residency.pop(server, None) is not None:
-                    deletes.append(server)
-                continue
-            row = encode_residency(state)
-            if self._published_residency.get(server) != row:
-                self._published_residency[server] = puts[server] = row
-        if puts or deletes:
-            self._placement.publish(PublishTopic(RESIDENCY_TOPIC, self._role_epoch, puts, deletes))
-
 
 def _for_placement(row: ServerRow) -> ServerRow:
     """Return a row as placement takes it: a server that is about to leave gets no loads."""
--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -9,19 +9,17 @@
 from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.web import Application, RequestHandler
 
-from zincvale.controlplane.directory_rows import DirectoryDecoder
+from zincvale.controlplane.directory_rows import LISTED_TOPIC, DirectoryDecoder
 from zincvale.controlplane.document_rows import DocumentDecoder
-from zincvale.controlplane.listed_servers import LISTED_TOPIC
-from zincvale.controlplane.placement.move_rows import closing_by_server, decode_move
+from zincvale.controlplane.placement.closing_rows import MOVES_TOPIC, ClosingDecoder
 from zincvale.coordination.config import Timings
 from zincvale.coordination.node_machine import NodeMachine
 from zincvale.coordination.replica_sets import INTENT_KEY
-from zincvale.daemons.core_assembly import node_config
-from zincvale.daemons.core_view import MOVES_TOPIC
-from zincvale.daemons.forwarding_seams import ForwardingDialects
+from zincvale.daemons.node_assembly import node_config
 from zincvale.daemons.process import Drain, build_process
 from zincvale.daemons.residency_rows import RESIDENCY_TOPIC, ResidencyDecoder
 from zincvale.dataplane.forwarding.budgets import ColdTerms, RetryTerms
+from zincvale.dataplane.forwarding.dialect import ForwardingDialect
 from zincvale.dataplane.forwarding.service import ForwardingService
 from zincvale.dataplane.forwarding.world import ForwardingTerms
 from zincvale.model.errors import ZincvaleError
@@ -58,7 +56,7 @@
         self,
         settings: DaemonSettings,
         forwarding: ForwardingSettings,
-        dialects: ForwardingDialects,
+        dialect: ForwardingDialect,
         timings: Timings,
     ) -> None:
         incarnation = new_incarnation()
@@ -71,6 +69,7 @@
         self._documents = DocumentDecoder()
         self._directory = DirectoryDecoder()
         self._residencies = ResidencyDecoder()
+        self._closing = ClosingDecoder()
         self._demand_due_at = 0.0
         self._demand_urgent = False
         self._was_ready = False
@@ -89,7 +88,7 @@
             self._after_input,
             NODE_TICK_MS,
         )
-        self._build_services(dialects)
+        self._build_services(dialect)
         self._ticker = PeriodicCallback(self._tick, SERVICES_INTERVAL_MS)
 
     def run(self) -> None:
@@ -126,7 +125,7 @@
         ready = (self._forwarding.ready_path, _ReadyHandler, {"node": self})
         return [ready, *self._tracing.http_routes()]
 
-    def _build_services(self, dialects: ForwardingDialects) -> None:
+    def _build_services(self, dialect: ForwardingDialect) -> None:
         settings, forwarding = self._settings, self._forwarding
         self._tracing = TracingService(
             self._member, self._random, self._clock, wall_now, self.process.peers.send, log=log
@@ -140,7 +139,7 @@
                 ),
                 ColdTerms(forwarding.cold_factor, forwarding.cold_slack),
             ),
-            dialects.forwarding,
+            dialect,
             self._tracing.recorder,
             self._random,
             self._clock,
@@ -192,8 +191,8 @@
             self._service.apply_members(members)
 
     def _apply_moves(self) -> None:
-        moves = [decode_move(row) for row in self.machine.topic(MOVES_TOPIC).rows.values()]
-        if self._service.apply_closing(closing_by_server(moves)):
+        closing = self._closing.update(self.machine.topic(MOVES_TOPIC).rows)
+        if self._service.apply_closing(closing):
             # The leader waits for reports made after the mark.
             self._report_soon()
 
--- a/src/zincvale/daemons/forwarding_seams.py
+++ b/src/zincvale/daemons/forwarding_seams.py
@@ -1,4 +1,4 @@
-"""What a forwarding deployment speaks with its surroundings: one object with every dialect."""
+"""What a core of a forwarding deployment speaks: one object with every dialect."""
 
 from __future__ import annotations
 
@@ -10,7 +10,6 @@
 from zincvale.controlplane.listed_servers import ListedServer
 from zincvale.daemons.http_fetch import FetchResult
 from zincvale.daemons.server_orders import ServerOrders
-from zincvale.dataplane.forwarding.dialect import ForwardingDialect
 
 
 @attrs.frozen
@@ -39,9 +38,8 @@
 
 @attrs.frozen
 class ForwardingDialects:
-    """Every dialect of one deployment."""
+    """Every dialect of a core."""
 
-    forwarding: ForwardingDialect
     operators: OperatorDialect
     server_list: ServerListDialect
     orders: ServerOrders
--- a/src/zincvale/daemons/node_daemon.py
+++ b/src/zincvale/daemons/node_daemon.py
@@ -10,12 +10,11 @@
 
 from zincvale.controlplane.directory_rows import DIRECTORY_TOPIC, DirectoryDecoder
 from zincvale.controlplane.intent_rows import IntentDecoder
-from zincvale.controlplane.placement.move_rows import closing_by_server, decode_move
+from zincvale.controlplane.placement.closing_rows import MOVES_TOPIC, ClosingDecoder
 from zincvale.coordination.node_machine import NodeMachine
 from zincvale.coordination.replica_sets import INTENT_KEY, REGISTRY_KEY
 from zincvale.daemons.closing import with_closing
-from zincvale.daemons.core_assembly import node_config
-from zincvale.daemons.core_view import MOVES_TOPIC
+from zincvale.daemons.node_assembly import node_config
 from zincvale.daemons.process import Drain, build_process
 from zincvale.daemons.registry_rows import registered_zones
 from zincvale.dataplane.claims import ClaimService
@@ -56,6 +55,7 @@
         self._member = MemberId(settings.member_id)
         self._intent = IntentDecoder()
         self._directory = DirectoryDecoder()
+        self._closing = ClosingDecoder()
         self._demand_due_at = 0.0
         self._first_fresh_at: float | None = None
         self._claims_began = False
@@ -183,8 +183,7 @@
 
     def _with_closing(self, directory: Directory) -> Directory:
         """Mark what the calendar is about to unload, so that nothing new is sent to it."""
-        moves = [decode_move(row) for row in self.machine.topic(MOVES_TOPIC).rows.values()]
-        return with_closing(directory, closing_by_server(moves))
+        return with_closing(directory, self._closing.update(self.machine.topic(MOVES_TOPIC).rows))
 
     # --- time -----------------------------------------------------------------------------
 
--- a/src/zincvale/daemons/placement_runner.py
+++ b/src/zincvale/daemons/placement_runner.py
@@ -10,6 +10,7 @@
 from tornado.ioloop import IOLoop
 from tornado.queues import Queue
 
+from zincvale.controlplane.placement.closing_rows import MOVES_TOPIC
 from zincvale.controlplane.placement.controller import PlacementController
 from zincvale.controlplane.placement.events import (
     AskStatus,
@@ -31,7 +32,6 @@
 from zincvale.controlplane.placement.items import ItemKind
 from zincvale.controlplane.placement.move_rows import topic_rows
 from zincvale.coordination.messages import PublishTopic
-from zincvale.daemons.core_view import MOVES_TOPIC
 from zincvale.daemons.http_fetch import FetchResult, HttpFetcher
 from zincvale.daemons.order_spans import OrderSpans
 from zincvale.daemons.server_orders import (
--- a/src/zincvale/daemons/process.py
+++ b/src/zincvale/daemons/process.py
@@ -69,7 +69,7 @@
         """Bind the peer address alone; raises `StartFailed`."""
         self._http_servers.append(
             listen(
-                self.server.application(),
+                self.server,
                 self.settings.peer_address,
                 "peer_address",
                 MAX_PEER_BODY_BYTES,
--- a/src/zincvale/daemons/residency_rows.py
+++ b/src/zincvale/daemons/residency_rows.py
@@ -6,30 +6,12 @@
 
 import orjson
 
-from zincvale.controlplane.placement.items import ItemKind
-from zincvale.controlplane.placement.servers import HoldingState, ServerState
 from zincvale.dataplane.forwarding.servers import Residency
 from zincvale.model.identifiers import ServerId
 
 RESIDENCY_TOPIC = "residency"
 
 
-def encode_residency(server: ServerState) -> bytes:
-    """Return the row of a server in placement's table."""
-    held: dict[str, list[str]] = {ItemKind.MODEL.value: [], ItemKind.ADAPTER.value: []}
-    for key, holding in server.holdings.items():
-        kind, _, name = key.partition("/")
-        if holding.state is HoldingState.LOADED:
-            held[kind].append(name)
-    return orjson.dumps(
-        {
-            "incarnation": server.incarnation,
-            "models": sorted(held[ItemKind.MODEL.value]),
-            "adapters": sorted(held[ItemKind.ADAPTER.value]),
-        }
-    )
-
-
 class ResidencyDecoder:
     """Keeps the typed rows of the topic; decodes only rows that changed."""
 
--- a/src/zincvale/platform/main.py
+++ b/src/zincvale/platform/main.py
@@ -9,6 +9,7 @@
 
 from tornado.ioloop import PeriodicCallback
 
+from zincvale.daemons.forwarding_timings import forwarding_timings
 from zincvale.model.errors import ZincvaleError
 from zincvale.platform.settings import ProcessSettings, load, settings_path
 from zincvale.platform.settings_watch import SettingsWatch
@@ -38,33 +39,38 @@
 
 
 def _run(role: str, settings: ProcessSettings) -> None:
-    # Imported here: each role needs only its own half.
+    if role == "core":
+        _run_core(settings)
+    else:
+        _run_node(settings)
+
+
+def _run_core(settings: ProcessSettings) -> None:
+    # Imported here and below: each role needs only its own half.
+    from zincvale.daemons.forwarding_core import ForwardingCore
     from zincvale.daemons.forwarding_seams import ForwardingDialects
-    from zincvale.daemons.forwarding_timings import forwarding_timings
-    from zincvale.platform.callers import PlatformForwarding
     from zincvale.platform.operators import PlatformOperators
     from zincvale.platform.servers import PlatformOrders, PlatformServerList
 
-    dialects = ForwardingDialects(
-        PlatformForwarding(), PlatformOperators(), PlatformServerList(), PlatformOrders()
+    core = ForwardingCore(
+        settings.daemon,
+        settings.forwarding,
+        ForwardingDialects(PlatformOperators(), PlatformServerList(), PlatformOrders()),
+        forwarding_timings(),
+        settings.bootstrap,
     )
-    if role == "core":
-        from zincvale.daemons.forwarding_core import ForwardingCore
-
-        core = ForwardingCore(
-            settings.daemon,
-            settings.forwarding,
-            dialects,
-            forwarding_timings(),
-            settings.bootstrap,
-        )
-        _watch_settings(role, core.use_seeds, core.process)
-        core.run()
-        return
+    _watch_settings("core", core.use_seeds, core.process)
+    core.run()
+
+
+def _run_node(settings: ProcessSettings) -> None:
     from zincvale.daemons.forwarding_node import ForwardingNode
+    from zincvale.platform.callers import PlatformForwarding
 
-    node = ForwardingNode(settings.daemon, settings.forwarding, dialects, forwarding_timings())
-    _watch_settings(role, node.use_seeds, node.process)
+    node = ForwardingNode(
+        settings.daemon, settings.forwarding, PlatformForwarding(), forwarding_timings()
+    )
+    _watch_settings("node", node.use_seeds, node.process)
     node.run()
 
 
--- a/src/zincvale/transport/peer_server.py
+++ b/src/zincvale/transport/peer_server.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import http.client
 import itertools
+import json
 from collections.abc import Callable
 from typing import Any, Protocol
 
 from tornado.concurrent import Future
-from tornado.web import Application, RequestHandler
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
 
 from zincvale.model.errors import MalformedBody, WrongCluster, ZincvaleError
 from zincvale.model.identifiers import MemberId
@@ -15,6 +24,10 @@
 from zincvale.transport.peer_client import BATCH_CONTENT_TYPE, PeerIdentity
 
 MAX_PEER_BODY_BYTES = 64 * 1024 * 1024
+MESSAGES_TARGET = ("POST", "/peer/messages")
+CALL_TARGET = ("POST", "/peer/call")
+JSON_CONTENT_TYPE = "application/json"
+NO_CONTENT = 204
 
 
 class PeerEndpoint(Protocol):
@@ -33,8 +46,12 @@
         ...
 
 
-class PeerServer:
-    """Serves `/peer/messages` and `/peer/call`, and keeps the calls that wait for a reply."""
+class PeerServer(HTTPServerConnectionDelegate):
+    """Serves `/peer/messages` and `/peer/call`, and keeps the calls that wait for a reply.
+
+    It sits on the library's connections, one level below its request handlers: a core answers
+    hundreds of small exchanges a second, and a handler costs as much as all the rest of them.
+    """
 
     def __init__(
         self,
@@ -48,16 +65,9 @@
         self._tokens = itertools.count(1)
         self._waiting: dict[str, Future[Any]] = {}
 
-    def application(self) -> Application:
-        """Return the tornado application for the peer address."""
-        arguments = {"server": self}
-        return Application(
-            [
-                (r"/peer/messages", _MessagesHandler, arguments),
-                (r"/peer/call", _CallHandler, arguments),
-            ],
-            log_function=lambda handler: None,
-        )
+    def start_request(self, server_conn: object, request_conn: Any) -> HTTPMessageDelegate:
+        """Return the receiver of one request."""
+        return _PeerRequest(self, request_conn)
 
     def open_call(self) -> tuple[str, Future[Any]]:
         """Return a new token and the future that its reply resolves."""
@@ -105,65 +115,86 @@
         )
 
 
-class _PeerHandler(RequestHandler):
-    """Shared reading and writing of batches."""
+class _PeerRequest(HTTPMessageDelegate):
+    """Receives one request and answers it."""
+
+    def __init__(self, server: PeerServer, connection: Any) -> None:
+        self._server = server
+        self._connection = connection
+        self._body: list[bytes] = []
+        self._target = ("", "")
+        self._token = ""
 
-    server: PeerServer
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Keep what is asked for."""
+        assert isinstance(start_line, RequestStartLine)
+        self._target = (start_line.method, start_line.path)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a part of the body; the HTTP server bounds its size."""
+        self._body.append(chunk)
+
+    def finish(self) -> None:
+        """Hand the whole request over."""
+        if self._target == MESSAGES_TARGET:
+            self._take(self._handle_messages)
+        elif self._target == CALL_TARGET:
+            self._take(self._handle_call)
+        else:
+            self._answer(404)
 
-    def initialize(self, server: PeerServer) -> None:
-        self.server = server
+    def on_connection_close(self) -> None:
+        """Forget a call whose caller went away."""
+        if self._token:
+            self._server.abandon(self._token)
 
-    def _read(self) -> Batch | None:
+    def _take(self, handle: Callable[[Batch], None]) -> None:
         try:
-            return self.server.read(self.request.body)
+            batch = self._server.read(b"".join(self._body))
         except ZincvaleError as error:
-            self.set_status(error.http_status)
-            self.finish(error.to_json())
-            return None
-
-    def _write(self, messages: list[Any]) -> None:
-        self.set_header("Content-Type", BATCH_CONTENT_TYPE)
-        self.finish(self.server.write(messages))
-
-
-class _MessagesHandler(_PeerHandler):
-    """One-way messages; the body of the answer is what handling sent back at once."""
-
-    def post(self) -> None:
-        batch = self._read()
-        if batch is None:
-            return
-        sender = MemberId(batch.sender)
-        replies = self.server.endpoint.messages_received(sender, batch.messages)
-        if not replies:
-            self.set_status(204)
-            self.finish()
-            return
-        self._write(replies)
-
-
-class _CallHandler(_PeerHandler):
-    """A call that is held until its reply."""
-
-    _token = ""
-
-    async def post(self) -> None:
-        batch = self._read()
-        if batch is None:
+            self._answer(error.http_status, json.dumps(error.to_json()).encode(), JSON_CONTENT_TYPE)
             return
+        handle(batch)
+
+    def _handle_messages(self, batch: Batch) -> None:
+        """One-way messages; the body of the answer is what handling sent back at once."""
+        replies = self._server.endpoint.messages_received(MemberId(batch.sender), batch.messages)
+        if replies:
+            self._answer(200, self._server.write(replies))
+        else:
+            self._answer(204)
+
+    def _handle_call(self, batch: Batch) -> None:
+        """A call is held until its reply."""
         if len(batch.messages) != 1:
-            self.set_status(400)
-            self.finish()
+            self._answer(400)
             return
-        self._token, future = self.server.open_call()
-        self.server.endpoint.call_received(MemberId(batch.sender), self._token, batch.messages[0])
-        reply = await future
+        self._token, future = self._server.open_call()
+        self._connection.set_close_callback(self.on_connection_close)
+        future.add_done_callback(lambda done: self._replied(done.result()))
+        self._server.endpoint.call_received(MemberId(batch.sender), self._token, batch.messages[0])
+
+    def _replied(self, reply: Any) -> None:
+        self._token = ""
         if reply is None:
-            self.set_status(503)
-            self.finish()
-            return
-        self._write([reply])
+            self._answer(503)
+        else:
+            self._answer(200, self._server.write([reply]))
 
-    def on_connection_close(self) -> None:
-        if self._token:
-            self.server.abandon(self._token)
+    def _answer(
+        self, status: int, body: bytes = b"", content_type: str = BATCH_CONTENT_TYPE
+    ) -> None:
+        headers = HTTPHeaders()
+        if body:
+            headers["Content-Type"] = content_type
+        if status != NO_CONTENT:
+            headers["Content-Length"] = str(len(body))
+        line = ResponseStartLine("HTTP/1.1", status, http.client.responses[status])
+        try:
+            written = self._connection.write_headers(line, headers, body)
+            written.add_done_callback(lambda done: done.exception())
+            self._connection.finish()
+        except StreamClosedError:
+            """The caller went away; it asks again."""
--- /dev/null
+++ b/tests/controlplane/placement/test_closing_rows.py
@@ -0,0 +1,39 @@
+"""What nodes read of the topic `moves`."""
+
+import attrs
+from testtools import TestCase
+
+from tests.controlplane.placement.test_move_rows import MOVE
+from zincvale.controlplane.placement.closing_rows import ClosingDecoder
+from zincvale.controlplane.placement.move_rows import closing_by_server, encode_move
+from zincvale.controlplane.placement.moves import MoveKind, MoveState
+from zincvale.model.errors import MalformedBody
+
+
+class ClosingDecoderTest(TestCase):
+    """The decoder reads rows as the typed moves would."""
+
+    def test_it_agrees_with_the_typed_moves_in_every_kind_and_state(self):
+        moves = [
+            attrs.evolve(MOVE, move_id=f"m{kind.value}-{state.value}", kind=kind, state=state)
+            for kind in MoveKind
+            for state in MoveState
+        ]
+        for move in moves:
+            rows = {move.move_id: encode_move(move)}
+            self.assertEqual(closing_by_server([move]), ClosingDecoder().update(rows))
+
+    def test_a_changed_row_counts_and_a_removed_one_does_not(self):
+        decoder = ClosingDecoder()
+        unload = attrs.evolve(MOVE, kind=MoveKind.UNLOAD, state=MoveState.CLOSING)
+        rows = {"a": encode_move(unload), "b": encode_move(attrs.evolve(unload, name="other"))}
+        names = decoder.update(rows)[unload.server]
+        self.assertEqual({unload.name, "other"}, names)
+        rows["a"] = encode_move(attrs.evolve(unload, state=MoveState.DONE))
+        self.assertEqual({unload.server: {"other"}}, decoder.update(rows))
+        self.assertEqual({}, decoder.update({}))
+
+    def test_an_unreadable_row_is_refused_with_a_remedy(self):
+        for content in (b"", b"{}", b"[1]"):
+            error = self.assertRaises(MalformedBody, ClosingDecoder().update, {"a": content})
+            self.assertEqual("run the same release on every machine", error.remedy)
