--- a/src/zincvale/daemons/http_fetch.py
+++ b/src/zincvale/daemons/http_fetch.py
@@ -25,7 +25,9 @@
 MEMBER_HEADER = "X-Zincvale-Member"
 """Names the daemon behind an order or probe."""
 CONNECT_TIMEOUT_S = 0.5
-UNACKNOWLEDGED_LIMIT_MS = 1_000
+UNACKNOWLEDGED_LIMIT_MS = 300
+"""At most the margin by which a leader stops before its lease ends: when the lease ends, what it
+sent has arrived or never will."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER, switched on, for no time at all."""
 NO_ANSWER_STATUS = 0
--- a/tests/daemons/test_http_fetch.py
+++ b/tests/daemons/test_http_fetch.py
@@ -6,12 +6,12 @@
 import pycurl
 from testtools import TestCase
 
+from zincvale.daemons.forwarding_timings import forwarding_timings
 from zincvale.daemons.http_fetch import (
     UNACKNOWLEDGED_LIMIT_MS,
     HttpFetcher,
     discard_on_close,
 )
-from zincvale.runtime.forwarding_settings import ForwardingSettings
 
 
 class Curl:
@@ -37,11 +37,11 @@
         packed = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
         self.assertEqual((1, 0), struct.unpack("ii", packed))
 
-    def test_bytes_that_nobody_acknowledges_are_given_up_before_the_next_leader_orders(self):
+    def test_bytes_that_nobody_acknowledges_are_given_up_before_the_lease_ends(self):
         discard_on_close(self.socket.fileno(), 0)
         limit_ms = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
         self.assertEqual(UNACKNOWLEDGED_LIMIT_MS, limit_ms)
-        self.assertLess(limit_ms / 1000.0, ForwardingSettings().order_quiet_s)
+        self.assertLessEqual(limit_ms / 1000.0, forwarding_timings().role_margin_s)
 
     def test_the_socket_stays_open(self):
         discard_on_close(self.socket.fileno(), 0)
