Forwarding: a model of back ends that fail, and what it found: resends after misdirected sends

The model runs real nodes (ForwardingService) on an event loop in virtual time before servers that fail in every way, and checks nine promises on what callers and servers saw. A send that a server turned away as misdirected was an arrival but no attempt, and what followed it did not spend the budget. Change: what follows any arrival spends the budget.

--- a/src/zincvale/dataplane/forwarding/request_machine.py
+++ b/src/zincvale/dataplane/forwarding/request_machine.py
@@ -77,6 +77,8 @@
         self._server = ""
         self._excluded: set[str] = set()
         self._uncounted = 0
+        self._arrivals = 0
+        """Sends that reached a server, whatever it said: what follows them spends the budget."""
         self._may_have_run = False
         self._head_relayed = False
         self._answers_stream = False
@@ -130,11 +132,12 @@
         self.phase = Phase.SENT
         self._server = server
         self.attempts += 1
+        self._arrivals += 1
         return [Send(server, self._last_event_id)]
 
     def _find_again(self) -> list[Effect]:
         self.phase = Phase.FINDING
-        return [FindServer(frozenset(self._excluded), is_repeat=self.attempts > 0)]
+        return [FindServer(frozenset(self._excluded), is_repeat=self._arrivals > 0)]
 
     def _no_server(self, blocked: Blocked, retry_after_s: float) -> list[Effect]:
         if self._head_relayed:
@@ -145,6 +148,7 @@
 
     def _not_sent(self, reason: str) -> list[Effect]:
         self.attempts -= 1
+        self._arrivals -= 1
         self._excluded.add(self._server)
         self._uncounted += 1
         released: list[Effect] = [Release(unreachable=True)]
--- a/src/zincvale/simulator/commands.py
+++ b/src/zincvale/simulator/commands.py
@@ -18,6 +18,7 @@
     parse_seeds,
     shrink_failure,
 )
+from zincvale.simulator.forwarding_model import run_forwarding
 from zincvale.simulator.mutations import MUTATIONS, Mutation, first_catch, schedules_to_try
 from zincvale.simulator.register_exploration import explore_register, walk_register
 from zincvale.simulator.run import Outcome, run_schedule
@@ -80,6 +81,22 @@
         if broken:
             sys.exit(EXIT_BROKEN)
 
+    def forwarding(self, seeds: str = "1..200") -> None:
+        """Forward requests to back ends that fail in every way; exit non-zero on a break.
+
+        Args:
+            seeds: `A..B`, both included.
+        """
+        outcomes = [run_forwarding(seed) for seed in parse_seeds(seeds)]
+        broken = [outcome for outcome in outcomes if outcome.problems]
+        for outcome in broken:
+            print(f"seed {outcome.seed}: {'; '.join(outcome.problems)}")
+        endings = sum((outcome.endings for outcome in outcomes), Counter())
+        told = ", ".join(f"{count} {ending}" for ending, count in endings.most_common())
+        print(f"{len(outcomes)} seeds, {len(broken)} broke a promise; {told}")
+        if broken:
+            sys.exit(EXIT_BROKEN)
+
     def replay(self, file: str, shrink: bool = False, save: str = "") -> None:
         """Run a saved schedule (or, given a number, that seed's) and exit non-zero when it breaks.
 
--- /dev/null
+++ b/src/zincvale/simulator/forwarding_model.py
@@ -0,0 +1,349 @@
+"""A model of forwarding under back ends that fail: real nodes, model servers and callers, one seed.
+
+The nodes are `ForwardingService` objects as the daemon runs them, on a loop in virtual time. What
+they learn of servers, evacuations and other nodes comes late and to each at another moment.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from random import Random
+from typing import Any
+
+import attrs
+
+from zincvale.dataplane.forwarding.budgets import ColdTerms, RetryTerms
+from zincvale.dataplane.forwarding.caller_sink import IncomingRequest
+from zincvale.dataplane.forwarding.native_dialect import NativeDialect
+from zincvale.dataplane.forwarding.service import ForwardingService
+from zincvale.dataplane.forwarding.world import ForwardingTerms
+from zincvale.model.forwarding import (
+    ForwardingDocument,
+    ForwardPool,
+    ForwardRoute,
+    WeightedPool,
+)
+from zincvale.model.identifiers import Address, MemberId, PoolName, ServerId, ZoneName
+from zincvale.model.resources import PoolKind
+from zincvale.model.view import Directory, MemberRow, Members, Role, ServerHealth, ServerRow
+from zincvale.simulator.forwarding_checks import (
+    ORDINARY_CHECKS,
+    cold_within,
+    count_endings,
+    first_problems,
+    retries_within,
+)
+from zincvale.simulator.forwarding_journal import CallerRecord, Ending, ForwardingJournal
+from zincvale.simulator.forwarding_servers import Conduct, ModelClient, ModelServer
+from zincvale.simulator.virtual_loop import VirtualLoop
+from zincvale.transport.server_exchange import HeaderList
+
+HOST = "model.example"
+POOL = "pool"
+ZONES = ("z1", "z2", "z3")
+NODES = 4
+SERVERS = 6
+DAY_S = 20.0
+AFTER_S = 8.0
+"""Beyond the last request: every one of them must have ended by then."""
+REQUESTS_PER_S = 12.0
+FAULTS = 26
+NEWS_DELAY_S = (0.05, 1.5)
+COLD_PER_S = 3.0
+COLD_S = 3.0
+RETRIES = RetryTerms(ratio=0.2, slack=8.0, window_s=5.0)
+COLD = ColdTerms(factor=1.5, slack=2.0)
+LEAVING_PART = 0.03
+
+
+@attrs.frozen
+class ForwardingOutcome:
+    """What one seed showed."""
+
+    seed: int
+    problems: list[str]
+    requests: int
+    endings: Counter[str]
+
+
+def run_forwarding(seed: int) -> ForwardingOutcome:
+    """Play one seed; the same seed gives the same outcome."""
+    model = _Model(seed)
+    model.play()
+    checks = {
+        **ORDINARY_CHECKS,
+        "retries-within": retries_within(RETRIES),
+        "cold-within": cold_within(COLD, COLD_PER_S),
+    }
+    callers = model.journal.callers
+    problems = first_problems(model.journal, checks.items())
+    return ForwardingOutcome(seed, problems, len(callers), count_endings(callers.values()))
+
+
+def _route(name: str, attempts: int, **fields: bool) -> ForwardRoute:
+    return ForwardRoute(
+        name=name,
+        host=HOST,
+        path_prefix=f"/{name}/",
+        split=[WeightedPool(POOL)],
+        timeout_s=3.0,
+        objective_s=0.8,
+        attempts=attempts,
+        **fields,
+    )
+
+
+ROUTES = (
+    _route("safe", 3, repeatable=True),
+    _route("once", 2),
+    _route("stream", 2, streaming=True),
+    _route("stream-on", 3, streaming=True, resumable=True),
+)
+
+
+class _Model:
+    def __init__(self, seed: int) -> None:
+        self._random = Random(seed)
+        self._loop = VirtualLoop()
+        self.journal = ForwardingJournal()
+        self._servers = [
+            ModelServer(f"s{place}", f"10.0.0.{place}:80", ZONES[place % len(ZONES)])
+            for place in range(SERVERS)
+        ]
+        self._evacuated: frozenset[str] = frozenset()
+        self._versions = 0
+        self._nodes = [self._node(place) for place in range(NODES)]
+
+    def play(self) -> None:
+        """Run the whole day and what is left of it."""
+        for node in self._nodes:
+            node.apply_members(self._members())
+            node.apply_document(self._document())
+            node.apply_directory(self._directory())
+        at = 0.0
+        while at < DAY_S:
+            at += self._random.expovariate(REQUESTS_PER_S)
+            self._loop.call_at(at, self._ask)
+        for _ in range(FAULTS):
+            self._loop.call_at(self._random.uniform(0.0, DAY_S), self._fault)
+        self._loop.run_until(DAY_S + AFTER_S)
+        self._loop.close()
+
+    # --- nodes ----------------------------------------------------------------------------
+
+    def _node(self, place: int) -> ForwardingService:
+        name = f"n{place}"
+        service = ForwardingService(
+            MemberId(name),
+            ZoneName(ZONES[place % len(ZONES)]),
+            ForwardingTerms(RETRIES, COLD),
+            NativeDialect(),
+            _NoSpans(),
+            self._random,
+            self._loop.time,
+            lambda: None,
+        )
+        world = service.world
+
+        def knows_draining(server: ModelServer) -> bool:
+            state = world.servers.get(ServerId(server.name))
+            return state is None or state.row.draining
+
+        def knows_evacuated(server: ModelServer) -> bool:
+            return server.zone in world.document.evacuated
+
+        client: Any = ModelClient(
+            name,
+            {server.address: server for server in self._servers},
+            self.journal,
+            self._random,
+            knows_draining,
+            knows_evacuated,
+        )
+        service.context.client = client
+        return service
+
+    def _tell(self, what: str) -> None:
+        """Bring news to every node, to each at another moment and never out of order."""
+        document, directory = self._document(), self._directory()
+        for node in self._nodes:
+            delay_s = self._random.uniform(*NEWS_DELAY_S)
+            if what == "document":
+                self._loop.call_later(delay_s, node.apply_document, document)
+            else:
+                self._loop.call_later(delay_s, _apply_newer, node, directory)
+
+    def _document(self) -> ForwardingDocument:
+        self._versions += 1
+        return ForwardingDocument(
+            self._versions,
+            self._versions,
+            {route.name: route for route in ROUTES},
+            {POOL: ForwardPool(name=POOL, cold_start_s=COLD_S, cold_per_s=COLD_PER_S)},
+            evacuated=frozenset(ZoneName(zone) for zone in self._evacuated),
+        )
+
+    def _directory(self) -> Directory:
+        self._versions += 1
+        rows = [_row(server, self._loop.time()) for server in self._servers]
+        return Directory(1, self._versions, {row.server: row for row in rows})
+
+    def _members(self) -> Members:
+        rows = {
+            MemberId(f"n{place}"): MemberRow(
+                MemberId(f"n{place}"),
+                Role.NODE,
+                ZoneName(ZONES[place % len(ZONES)]),
+                Address("10.1.0.1:1"),
+                Address("10.1.0.1:2"),
+            )
+            for place in range(NODES)
+        }
+        return Members(1, rows)
+
+    # --- callers --------------------------------------------------------------------------
+
+    def _ask(self) -> None:
+        route = self._random.choice(ROUTES)
+        node = self._random.choice(self._nodes)
+        now = self._loop.time()
+        deadline_s = self._random.choice((1.0, 2.0, 6.0))
+        request_id = f"q{len(self.journal.callers)}"
+        record = CallerRecord(
+            request_id,
+            POOL,
+            route.attempts,
+            route.repeatable or route.resumable,
+            route.streaming,
+            now,
+            now + min(deadline_s, route.timeout_s),
+        )
+        self.journal.callers[request_id] = record
+        headers = [
+            ("Host", HOST),
+            ("X-Request-Id", request_id),
+            ("X-Deadline-Ms", str(int(deadline_s * 1000))),
+        ]
+        target = f"{route.path_prefix}x"
+        sink = _Sink(record, self._loop)
+        handle = node.take(IncomingRequest("POST", target, headers, b"", now), sink)
+        if handle is not None and self._random.random() < LEAVING_PART:
+            self._loop.call_later(0.1, sink.leave, handle)
+
+    # --- faults ---------------------------------------------------------------------------
+
+    def _fault(self) -> None:
+        server = self._random.choice(self._servers)
+        draw = self._random.random()
+        if draw < 0.05:
+            for each in self._servers:
+                self._restart(each)
+        elif draw < 0.2:
+            self._restart(server)
+        elif draw < 0.3:
+            server.draining = not server.draining
+            self._tell("directory")
+        elif draw < 0.4:
+            self._evacuated = frozenset() if self._evacuated else frozenset({server.zone})
+            self._tell("document")
+        else:
+            server.conduct = self._random.choice(list(Conduct))
+            self._loop.call_later(self._random.uniform(0.2, 4.0), _recover, server)
+
+    def _restart(self, server: ModelServer) -> None:
+        """The server is gone and comes back cold, as another incarnation."""
+        server.starts += 1
+        server.conduct = Conduct.WELL
+        server.cold_until = self._loop.time() + COLD_S
+        self._tell("directory")
+
+
+def _recover(server: ModelServer) -> None:
+    server.conduct = Conduct.WELL
+
+
+def _apply_newer(node: ForwardingService, directory: Directory) -> None:
+    if directory.version > getattr(node, "model_directory", 0):
+        setattr(node, "model_directory", directory.version)  # noqa: B010
+        node.apply_directory(directory)
+
+
+def _row(server: ModelServer, now: float) -> ServerRow:
+    return ServerRow(
+        server=ServerId(server.name),
+        address=Address(server.address),
+        pool=PoolName(POOL),
+        zone=ZoneName(server.zone),
+        kind=PoolKind.LOOKUP,
+        health=ServerHealth.READY,
+        incarnation=server.incarnation,
+        draining=server.draining,
+        cold_remaining_s=max(0.0, server.cold_until - now),
+    )
+
+
+class _Sink:
+    """A caller that reads everything at once."""
+
+    unsent_bytes = 0
+
+    def __init__(self, record: CallerRecord, loop: asyncio.AbstractEventLoop) -> None:
+        self._record = record
+        self._loop = loop
+
+    def open(self, status: int, reason: str, headers: HeaderList) -> None:
+        """Take the head."""
+        self._record.status = status
+        self._record.retry_after = dict(headers).get("Retry-After", "")
+
+    def write(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self._record.body += data
+
+    def end(self) -> None:
+        """The answer is whole."""
+        self._close(Ending.WHOLE)
+
+    def cut(self) -> None:
+        """The connection broke."""
+        self._close(Ending.CUT)
+
+    def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
+        """Take a whole answer of the node."""
+        self.open(status, "", headers)
+        self.write(body)
+        self.end()
+
+    def leave(self, handle: Any) -> None:
+        """The caller goes away, unless it has its answer."""
+        if self._record.ending is Ending.OPEN:
+            self._close(Ending.LEFT)
+            handle.caller_left()
+
+    def _close(self, ending: Ending) -> None:
+        if self._record.ending is Ending.OPEN:
+            self._record.ending = ending
+            self._record.ended_at = self._loop.time()
+
+
+class _NoSpans:
+    """The record is not modelled."""
+
+    context = None
+
+    def start(self, *arguments: Any, **options: Any) -> Any:
+        """Return something that takes every call."""
+        return self
+
+    def set(self, *arguments: Any) -> None:
+        """Note nothing."""
+
+    def event(self, *arguments: Any, **options: Any) -> None:
+        """Note nothing."""
+
+    def error(self, *arguments: Any) -> None:
+        """Note nothing."""
+
+    def end(self) -> None:
+        """Note nothing."""
--- a/tests/dataplane/forwarding/test_request_machine.py
+++ b/tests/dataplane/forwarding/test_request_machine.py
@@ -111,6 +111,11 @@
         effects = machine.handle(HeadReceived(421, MISDIRECTED, False))
         self.assertEqual([FinalKind.REFUSED], kinds(effects))
 
+    def test_what_follows_a_misdirected_send_spends_the_budget(self):
+        """It is no attempt, but an arrival: the budget counts arrivals beyond the first."""
+        effects = sent(attempts=1).handle(HeadReceived(421, MISDIRECTED, False))
+        self.assertEqual(FindServer(frozenset({"s1"}), True), effects[-1])
+
     def test_a_connection_that_never_came_up_is_no_attempt(self):
         machine = sent(attempts=1)
         effects = machine.handle(NotSent("refused"))
