--- a/src/zincvale/coordination/core_inputs.py
+++ b/src/zincvale/coordination/core_inputs.py
@@ -126,9 +126,12 @@
 def _handle_status(
     parts: CoreParts, sender: MemberId, status: CoreStatus, now: float
 ) -> list[Effect]:
+    known = parts.context.cores.live(now).get(sender)
+    is_new = known is None or known.info.incarnation != status.info.incarnation
     parts.context.cores.note(sender, status, now)
-    if status.heard.get(parts.context.own_id) != parts.context.config.incarnation:
-        # The sender does not know this process yet: it need not wait for the next status.
+    if is_new or status.heard.get(parts.context.own_id) != parts.context.config.incarnation:
+        # The sender does not know this process yet, or not that it was heard: keys are taken and
+        # roles granted by what all say of each other, so it need not wait for the next status.
         parts.statuses.send_soon(now)
     parts.creation.note_existing(status.cluster_incarnation)
     effects = parts.ownership.handle_status(sender, status, now)
--- a/src/zincvale/coordination/core_statuses.py
+++ b/src/zincvale/coordination/core_statuses.py
@@ -30,21 +30,21 @@
         self._owners = owners
         self._held_roles = held_roles
         self._due_at = context.started_at
+        self._sent_at = float("-inf")
 
     def send_now(self) -> None:
         """Send the status with the next tick: something changed that others wait for."""
         self._due_at = self._context.started_at
 
     def send_soon(self, now: float) -> None:
-        """Send the status with the next tick, unless one was sent a moment ago."""
-        interval_s = self._context.config.timings.status_interval_s
-        if self._due_at - now < interval_s - LEAST_INTERVAL_S:
-            self.send_now()
+        """Send the status soon: with the next tick, or a moment after the last one."""
+        self._due_at = min(self._due_at, max(now, self._sent_at + LEAST_INTERVAL_S))
 
     def tick(self, now: float) -> list[Effect]:
         """Send the status when it is due."""
         if now < self._due_at:
             return []
+        self._sent_at = now
         self._due_at = now + self._context.config.timings.status_interval_s
         status = self._status(now)
         return [Send(member, status) for member in self._targets()]
--- a/tests/coordination/test_hand_over.py
+++ b/tests/coordination/test_hand_over.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import random
+
 import testtools
 
 from tests.coordination.pump import CORES, Cluster
 from zincvale.coordination.config import Timings
+from zincvale.daemons.forwarding_timings import forwarding_timings
 from zincvale.model.machine import Leaving
 
 ROLE = "placer"
@@ -114,3 +117,32 @@
                 cluster.start_node(node)
             self.assertTrue(cluster.run_until(cluster.all_ready, 1.0), seed)
             self.assertEqual([1, 1, 1], [node.intent().version for node in cluster.nodes()])
+
+
+class RestartOfAllTest(testtools.TestCase):
+    """Every process is killed: how long until nodes are ready, counted from the cores' start."""
+
+    READY_WITHIN_S = 0.45
+
+    def ready_after_s(self, seed: int) -> float:
+        cluster = Cluster(seed=seed, timings=forwarding_timings()).started()
+        cluster.run(4.0)
+        nodes = [member for member in cluster.processes if member not in CORES]
+        for member in list(cluster.processes):
+            cluster.kill(member)
+        for node in nodes:
+            cluster.start_node(node)
+        cluster.run(0.1)
+        started_at = cluster.now
+        draw = random.Random(seed)
+        for core in draw.sample(CORES, len(CORES)):
+            cluster.start_core(core)
+            cluster.run(draw.choice((0.0, 0.02, 0.05)))
+        assert cluster.run_until(
+            lambda: all(cluster.node(node).ready(cluster.now) for node in nodes), 10.0
+        )
+        return cluster.now - started_at
+
+    def test_cores_need_no_periodic_status_to_know_each_other(self) -> None:
+        slowest = max(self.ready_after_s(seed) for seed in range(1, 31))
+        self.assertLess(slowest, self.READY_WITHIN_S)
