--- a/examples/embedded_register.py
+++ b/examples/embedded_register.py
@@ -11,7 +11,7 @@
 from zincvale.coordination.changes import RowChange
 from zincvale.coordination.config import CoreConfig, InitialCore
 from zincvale.coordination.core_machine import CoreMachine
-from zincvale.coordination.messages import ProposeChange
+from zincvale.coordination.change_messages import ProposeChange
 from zincvale.coordination.recovered import RecoveredState
 from zincvale.model import machine as m
 
--- a/src/zincvale/controlplane/document_api.py
+++ b/src/zincvale/controlplane/document_api.py
@@ -20,8 +20,8 @@
     encode_change,
 )
 from zincvale.controlplane.document_rows import SourceDocument, source_document
+from zincvale.coordination.change_messages import CONFLICT, ChangeResult, ProposeChange
 from zincvale.coordination.changes import KeyView
-from zincvale.coordination.messages import CONFLICT, ChangeResult, ProposeChange
 from zincvale.coordination.replica_sets import INTENT_KEY
 from zincvale.model.errors import Unavailable, ZincvaleError
 
--- a/src/zincvale/controlplane/intent_changes.py
+++ b/src/zincvale/controlplane/intent_changes.py
@@ -18,7 +18,7 @@
     json_response,
 )
 from zincvale.controlplane.change_body import MAX_CHANGE_BYTES, parse_json
-from zincvale.coordination.messages import (
+from zincvale.coordination.change_messages import (
     CONFLICT,
     IN_FORCE,
     INVALID,
--- a/src/zincvale/coordination/catching_up.py
+++ b/src/zincvale/coordination/catching_up.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 from zincvale.coordination.core_context import CoreContext
+from zincvale.coordination.core_messages import KeyStatus
 from zincvale.coordination.epochs import Epoch
-from zincvale.coordination.messages import KeyStatus
 from zincvale.coordination.register_owner import RegisterOwner
 from zincvale.coordination.replica_config import ReplicaConfig, replica_id
 from zincvale.coordination.replica_sets import DELIVERED_KEYS
--- a/src/zincvale/coordination/change_batch.py
+++ b/src/zincvale/coordination/change_batch.py
@@ -8,17 +8,11 @@
 import xxhash
 from returns.result import Failure
 
+from zincvale.coordination.change_messages import CONFLICT, INVALID, ChangeResult, ProposeChange
 from zincvale.coordination.changes import Reducer, RowChange, Rows, apply_changes
 from zincvale.coordination.epochs import Epoch, Position
-from zincvale.coordination.messages import (
-    CONFLICT,
-    INVALID,
-    ChangeResult,
-    OrderEntry,
-    ProposeChange,
-    RecordUpdate,
-)
 from zincvale.coordination.records import Record, apply_update
+from zincvale.coordination.register_messages import OrderEntry, RecordUpdate
 
 
 @attrs.frozen
--- a/src/zincvale/coordination/chosen_values.py
+++ b/src/zincvale/coordination/chosen_values.py
@@ -6,8 +6,9 @@
 
 from zincvale.coordination.changes import Rows
 from zincvale.coordination.core_context import CoreContext
+from zincvale.coordination.core_messages import CoreStatus
 from zincvale.coordination.delivery import difference_of, table_delta
-from zincvale.coordination.messages import Accept, Chosen, ChosenValue, CoreStatus, FetchValue
+from zincvale.coordination.register_messages import Accept, Chosen, ChosenValue, FetchValue
 from zincvale.coordination.replica_sets import REPLICA_SETS_KEY
 from zincvale.coordination.tables import VersionedTable
 from zincvale.model.identifiers import MemberId
--- a/src/zincvale/coordination/core_context.py
+++ b/src/zincvale/coordination/core_context.py
@@ -10,7 +10,7 @@
 from zincvale.coordination.config import CoreConfig
 from zincvale.coordination.core_table import CoreTable
 from zincvale.coordination.epochs import epoch_owner
-from zincvale.coordination.messages import MemberInfo
+from zincvale.coordination.member_messages import MemberInfo
 from zincvale.coordination.register_replica import RegisterReplica
 from zincvale.coordination.replica_config import replica_id
 from zincvale.coordination.replica_sets import (
--- a/src/zincvale/coordination/core_inputs.py
+++ b/src/zincvale/coordination/core_inputs.py
@@ -2,43 +2,35 @@
 
 from __future__ import annotations
 
+from zincvale.coordination.change_messages import ForwardChange, ProposeChange, ReplaceReplica
+from zincvale.coordination.core_messages import CoreStatus, CreateCluster, HeldReport
 from zincvale.coordination.core_parts import CoreParts
-from zincvale.coordination.messages import (
+from zincvale.coordination.delivery_messages import FetchTopic, Poll, PublishTopic, TopicUpdate
+from zincvale.coordination.lease_messages import (
+    LeaseGranted,
+    LeaseRedirect,
+    NodeGrant,
+    RelayedGrant,
+    RelayedGrants,
+    RelayedRenewal,
+    RelayedRenewals,
+    RenewLease,
+)
+from zincvale.coordination.register_messages import (
     Accept,
     Accepted,
-    AskRole,
     BaseMissing,
     Chosen,
     ChosenValue,
     ConfirmEpoch,
-    CoreStatus,
-    CreateCluster,
     EpochConfirmed,
-    FetchTopic,
     FetchValue,
-    ForwardChange,
-    HeldReport,
-    LeaseGranted,
-    LeaseRedirect,
-    NodeGrant,
-    Poll,
     Prepare,
     Promise,
-    ProposeChange,
-    PublishTopic,
     Refused,
-    RelayedGrant,
-    RelayedGrants,
-    RelayedRenewal,
-    RelayedRenewals,
-    RenewLease,
-    ReplaceReplica,
-    RoleGranted,
-    RoleRefused,
-    RoleReleased,
-    TopicUpdate,
 )
 from zincvale.coordination.replica_sets import REPLICA_SETS_KEY
+from zincvale.coordination.role_messages import AskRole, RoleGranted, RoleRefused, RoleReleased
 from zincvale.model.identifiers import MemberId
 from zincvale.model.machine import Effect, Reply, Send
 
--- a/src/zincvale/coordination/core_leases.py
+++ b/src/zincvale/coordination/core_leases.py
@@ -5,8 +5,9 @@
 from zincvale.coordination.core_context import CoreContext
 from zincvale.coordination.held_reports import HeldReports
 from zincvale.coordination.lease_grantor import CLOCK_RATE_ALLOWANCE, LeaseGrantor
+from zincvale.coordination.lease_messages import LeaseGranted, LeaseRedirect, RenewLease
+from zincvale.coordination.member_messages import MemberInfo
 from zincvale.coordination.member_table import MemberTable
-from zincvale.coordination.messages import LeaseGranted, LeaseRedirect, MemberInfo, RenewLease
 from zincvale.coordination.registry_keeper import RegistryKeeper
 from zincvale.coordination.replica_config import ReplicaConfig
 from zincvale.coordination.replica_sets import REGISTRY_KEY
--- /dev/null
+++ b/src/zincvale/coordination/core_messages.py
@@ -0,0 +1,82 @@
+"""Messages of the cores among each other: statuses, creation, what nodes hold."""
+
+from __future__ import annotations
+
+import attrs
+
+from zincvale.coordination.epochs import Epoch, Position
+from zincvale.coordination.member_messages import MemberInfo
+from zincvale.coordination.register_messages import RecordUpdate
+from zincvale.coordination.replica_config import ReplicaConfig
+from zincvale.model.messages import peer_message
+
+
+@attrs.frozen
+class TopicPosition:
+    """The epoch and version of a soft topic that a poller holds."""
+
+    epoch: int
+    version: int
+
+
+@attrs.frozen
+class KeyStatus:
+    """Where a core stands with one key."""
+
+    key: str
+    promised: Epoch
+    accepted: Position
+    chosen_version: int
+    owned_epoch: Epoch | None
+    """The epoch under which the sender serves the key."""
+    config: ReplicaConfig
+    """The owner's configuration of the record; empty from others."""
+
+
+@peer_message("core.status")
+@attrs.frozen
+class CoreStatus:
+    """What a core tells the others several times a second."""
+
+    info: MemberInfo
+    disk: str
+    """Random identity of the data folder."""
+    cluster_incarnation: str
+    """Identity of the cluster's creation; empty on a disk that holds no records."""
+    bootstrapping: bool
+    voting: bool
+    can_learn: bool
+    """The sender has no vote and its disk takes writes."""
+    keys: list[KeyStatus]
+    heard: dict[str, str]
+    """Incarnations of the cores the sender heard: proves that it spoke after they started."""
+    topics: dict[str, TopicPosition]
+    leaving: bool = False
+    """The sender was asked to stop: it owns nothing, leads nothing, and may be replaced."""
+    held_roles: list[str] = attrs.field(factory=list)
+    """Roles for which the sender's grant to some holder is live."""
+
+
+@peer_message("core.create")
+@attrs.frozen
+class CreateCluster:
+    """The first record of a new cluster, for an empty disk with the named identity."""
+
+    disk: str
+    update: RecordUpdate
+
+
+@peer_message("held.report")
+@attrs.frozen
+class HeldReport:
+    """Every node with a live lease at the sender holds `version` of `key`.
+
+    `nodes` are those that confirmed and gave no evidence of being cut off lately; `chosen` are the
+    sender's newest versions of the delivered keys, `config_version` that of its replica sets.
+    """
+
+    key: str
+    version: int
+    nodes: list[str]
+    chosen: dict[str, int]
+    config_version: int
--- a/src/zincvale/coordination/core_parts.py
+++ b/src/zincvale/coordination/core_parts.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 from zincvale.coordination.catching_up import CatchingUp
+from zincvale.coordination.change_messages import ChangeResult
 from zincvale.coordination.changes import Reducer
 from zincvale.coordination.chosen_values import ChosenValues
 from zincvale.coordination.core_context import CoreContext
@@ -24,7 +25,6 @@
 from zincvale.coordination.creation import ClusterCreation
 from zincvale.coordination.delivery import DeliveryHost
 from zincvale.coordination.home_renewals import HomeRenewals
-from zincvale.coordination.messages import ChangeResult
 from zincvale.coordination.ownership import Ownership
 from zincvale.coordination.proposals import Proposals
 from zincvale.coordination.register_owner import RegisterOwner
--- a/src/zincvale/coordination/core_statuses.py
+++ b/src/zincvale/coordination/core_statuses.py
@@ -6,7 +6,7 @@
 
 from zincvale.coordination.catching_up import own_key_status
 from zincvale.coordination.core_context import CoreContext
-from zincvale.coordination.messages import CoreStatus, TopicPosition
+from zincvale.coordination.core_messages import CoreStatus, TopicPosition
 from zincvale.coordination.register_owner import RegisterOwner
 from zincvale.model.identifiers import MemberId
 from zincvale.model.machine import Effect, Send
--- a/src/zincvale/coordination/core_systems.py
+++ b/src/zincvale/coordination/core_systems.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable
 
+from zincvale.coordination.change_messages import IN_FORCE, ChangeResult
 from zincvale.coordination.core_parts import ROLE_PROPOSAL_PREFIX, CoreParts
 from zincvale.coordination.in_force import Waiter
-from zincvale.coordination.messages import IN_FORCE, ChangeResult, Chosen
 from zincvale.coordination.ownership_proof import Evaluated
+from zincvale.coordination.register_messages import Chosen
 from zincvale.coordination.register_owner import ChosenNow, Phase, RegisterOwner
 from zincvale.coordination.replica_sets import (
     DELIVERED_KEYS,
--- a/src/zincvale/coordination/core_topics.py
+++ b/src/zincvale/coordination/core_topics.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from zincvale.coordination.core_context import CoreContext
+from zincvale.coordination.core_messages import CoreStatus
 from zincvale.coordination.delivery import DeliveryHost
-from zincvale.coordination.messages import (
-    CoreStatus,
+from zincvale.coordination.delivery_messages import (
     FetchTopic,
     PublishTopic,
     TopicPublished,
--- a/src/zincvale/coordination/creation.py
+++ b/src/zincvale/coordination/creation.py
@@ -9,8 +9,8 @@
 
 from zincvale.coordination import log_events
 from zincvale.coordination.core_context import CoreContext
+from zincvale.coordination.core_messages import CoreStatus, CreateCluster
 from zincvale.coordination.epochs import Epoch, Position
-from zincvale.coordination.messages import CoreStatus, CreateCluster
 from zincvale.coordination.record_files import ReplicaState
 from zincvale.coordination.records import Record
 from zincvale.coordination.replica_config import ReplicaConfig
--- a/src/zincvale/coordination/delivery.py
+++ b/src/zincvale/coordination/delivery.py
@@ -7,7 +7,8 @@
 import attrs
 
 from zincvale.coordination.config import Timings
-from zincvale.coordination.messages import Poll, PollAnswer, TableDelta, TopicDelta
+from zincvale.coordination.delivery_messages import Poll, PollAnswer, TopicDelta
+from zincvale.coordination.register_messages import TableDelta
 from zincvale.coordination.tables import Difference, VersionedTable
 from zincvale.coordination.topics import TopicTables
 from zincvale.model.machine import Effect, Reply
--- a/src/zincvale/coordination/held_reports.py
+++ b/src/zincvale/coordination/held_reports.py
@@ -4,9 +4,9 @@
 
 from zincvale.coordination import registry
 from zincvale.coordination.core_context import CoreContext
+from zincvale.coordination.core_messages import HeldReport
 from zincvale.coordination.in_force import CountingRules, InForceTracker, Waiter
 from zincvale.coordination.lease_grantor import LeaseGrantor
-from zincvale.coordination.messages import HeldReport
 from zincvale.coordination.replica_sets import DELIVERED_KEYS, REGISTRY_KEY
 from zincvale.model.identifiers import MemberId
 from zincvale.model.machine import Effect
--- a/src/zincvale/coordination/home_renewals.py
+++ b/src/zincvale/coordination/home_renewals.py
@@ -10,7 +10,7 @@
 import attrs
 
 from zincvale.coordination.core_context import CoreContext
-from zincvale.coordination.messages import (
+from zincvale.coordination.lease_messages import (
     CoreGrant,
     LeaseGranted,
     LeaseGrants,
--- a/src/zincvale/coordination/in_force.py
+++ b/src/zincvale/coordination/in_force.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from zincvale.coordination.messages import HeldReport
+from zincvale.coordination.core_messages import HeldReport
 from zincvale.coordination.replica_config import ReplicaConfig, has_majority
 from zincvale.model.identifiers import MemberId
 
--- a/src/zincvale/coordination/node_island.py
+++ b/src/zincvale/coordination/node_island.py
@@ -20,7 +20,7 @@
 from zincvale.coordination.changes import Rows
 from zincvale.coordination.config import NodeConfig
 from zincvale.coordination.lease_grantor import CLOCK_RATE_ALLOWANCE
-from zincvale.coordination.messages import IslandEvidence, IslandProbe
+from zincvale.coordination.lease_messages import IslandEvidence, IslandProbe
 from zincvale.coordination.replica_config import majority
 from zincvale.coordination.replica_sets import REGISTRY_KEY
 from zincvale.model.identifiers import MemberId
--- a/src/zincvale/coordination/node_lease.py
+++ b/src/zincvale/coordination/node_lease.py
@@ -9,7 +9,8 @@
 import attrs
 
 from zincvale.coordination.config import NodeConfig
-from zincvale.coordination.messages import LeaseGranted, MemberInfo, RenewLease
+from zincvale.coordination.lease_messages import LeaseGranted, RenewLease
+from zincvale.coordination.member_messages import MemberInfo
 from zincvale.coordination.replica_config import ReplicaConfig, majority, member_of
 from zincvale.model.identifiers import Address, MemberId
 from zincvale.model.view import Role
--- a/src/zincvale/coordination/node_machine.py
+++ b/src/zincvale/coordination/node_machine.py
@@ -7,28 +7,26 @@
 from zincvale.coordination import log_events
 from zincvale.coordination.changes import ChangeNotes, KeyView, TopicView
 from zincvale.coordination.config import NodeConfig
+from zincvale.coordination.core_messages import CoreStatus
 from zincvale.coordination.delivery import DeliveryHost, table_delta
-from zincvale.coordination.member_rows import decode_member, decode_members
-from zincvale.coordination.messages import (
-    ChosenValue,
-    CoreStatus,
-    FetchValue,
+from zincvale.coordination.delivery_messages import Poll, PollAnswer
+from zincvale.coordination.lease_messages import (
     IslandEvidence,
     IslandProbe,
     LeaseGranted,
     LeaseGrants,
     LeaseRedirect,
-    Poll,
-    PollAnswer,
     RelayedGrant,
     RelayedRenewal,
     RelayRenewal,
     RenewLease,
 )
+from zincvale.coordination.member_rows import decode_member, decode_members
 from zincvale.coordination.node_home import HOME_PREFIX, NodeHome
 from zincvale.coordination.node_island import NodeIsland
 from zincvale.coordination.node_lease import NodeLease
 from zincvale.coordination.node_poller import POLL_PREFIX, NodePoller
+from zincvale.coordination.register_messages import ChosenValue, FetchValue
 from zincvale.coordination.registry import decode_row
 from zincvale.coordination.replica_sets import DELIVERED_KEYS, INTENT_KEY, REGISTRY_KEY
 from zincvale.coordination.tables import Difference
--- a/src/zincvale/coordination/node_poller.py
+++ b/src/zincvale/coordination/node_poller.py
@@ -9,8 +9,10 @@
 
 from zincvale.coordination.changes import ChangeNotes
 from zincvale.coordination.config import NodeConfig
+from zincvale.coordination.core_messages import TopicPosition
 from zincvale.coordination.delivery import difference_of
-from zincvale.coordination.messages import Poll, PollAnswer, TableDelta, TopicPosition
+from zincvale.coordination.delivery_messages import Poll, PollAnswer
+from zincvale.coordination.register_messages import TableDelta
 from zincvale.coordination.tables import VersionedTable
 from zincvale.coordination.topics import TopicTables
 from zincvale.model.identifiers import MemberId
--- a/src/zincvale/coordination/proposals.py
+++ b/src/zincvale/coordination/proposals.py
@@ -10,14 +10,14 @@
 
 import attrs
 
-from zincvale.coordination.core_context import CoreContext
-from zincvale.coordination.messages import (
+from zincvale.coordination.change_messages import (
     NOT_CONFIRMED,
     NOT_OWNER,
     ChangeResult,
     ForwardChange,
     ProposeChange,
 )
+from zincvale.coordination.core_context import CoreContext
 from zincvale.coordination.ownership import Ownership
 from zincvale.coordination.register_owner import RegisterOwner
 from zincvale.model.identifiers import MemberId
--- a/src/zincvale/coordination/record_files.py
+++ b/src/zincvale/coordination/record_files.py
@@ -13,8 +13,8 @@
 import fastavro
 
 from zincvale.coordination.epochs import Epoch, Position
-from zincvale.coordination.messages import OrderEntry, RecordUpdate
 from zincvale.coordination.records import Record, apply_update
+from zincvale.coordination.register_messages import OrderEntry, RecordUpdate
 from zincvale.coordination.replica_config import ReplicaConfig
 
 SNAPSHOT_MARK = b"S"
--- a/src/zincvale/coordination/records.py
+++ b/src/zincvale/coordination/records.py
@@ -6,7 +6,7 @@
 
 from zincvale.coordination.changes import Rows
 from zincvale.coordination.epochs import Epoch, Position
-from zincvale.coordination.messages import OrderEntry, RecordUpdate
+from zincvale.coordination.register_messages import OrderEntry, RecordUpdate
 from zincvale.coordination.replica_config import ReplicaConfig
 
 ORDER_HISTORY_LIMIT = 4096
--- a/src/zincvale/coordination/register_owner.py
+++ b/src/zincvale/coordination/register_owner.py
@@ -19,22 +19,22 @@
 
 from zincvale.coordination import log_events
 from zincvale.coordination.change_batch import AcceptedOrder, ChangeBatch
+from zincvale.coordination.change_messages import ProposeChange
 from zincvale.coordination.changes import Reducer, Rows
 from zincvale.coordination.config import Timings
 from zincvale.coordination.epochs import Epoch, Position
-from zincvale.coordination.messages import (
+from zincvale.coordination.ownership_proof import Evaluated, OwnershipProof
+from zincvale.coordination.records import Record, apply_update
+from zincvale.coordination.register_messages import (
     Accept,
     Accepted,
     BaseMissing,
     EpochConfirmed,
     Prepare,
     Promise,
-    ProposeChange,
     RecordUpdate,
     Refused,
 )
-from zincvale.coordination.ownership_proof import Evaluated, OwnershipProof
-from zincvale.coordination.records import Record, apply_update
 from zincvale.coordination.replica_config import ReplicaConfig, member_of, replica_id
 from zincvale.model.identifiers import MemberId
 from zincvale.model.machine import Effect, Log, Send
--- a/src/zincvale/coordination/register_replica.py
+++ b/src/zincvale/coordination/register_replica.py
@@ -12,27 +12,27 @@
 
 from zincvale.coordination import log_events
 from zincvale.coordination.config import Timings
+from zincvale.coordination.core_messages import CreateCluster
 from zincvale.coordination.epochs import Epoch, Position
-from zincvale.coordination.messages import (
+from zincvale.coordination.record_files import (
+    ReplicaState,
+    decode_chain,
+    encode_delta,
+    encode_snapshot,
+)
+from zincvale.coordination.records import apply_update
+from zincvale.coordination.recovered import RecoveredState
+from zincvale.coordination.register_messages import (
     Accept,
     Accepted,
     BaseMissing,
     ConfirmEpoch,
-    CreateCluster,
     EpochConfirmed,
     Prepare,
     Promise,
     RecordUpdate,
     Refused,
 )
-from zincvale.coordination.record_files import (
-    ReplicaState,
-    decode_chain,
-    encode_delta,
-    encode_snapshot,
-)
-from zincvale.coordination.records import apply_update
-from zincvale.coordination.recovered import RecoveredState
 from zincvale.model.identifiers import MemberId
 from zincvale.model.machine import Effect, Log, Send, Write
 
--- a/src/zincvale/coordination/registry_keeper.py
+++ b/src/zincvale/coordination/registry_keeper.py
@@ -9,7 +9,8 @@
 from zincvale.coordination.changes import Rows
 from zincvale.coordination.core_context import CoreContext
 from zincvale.coordination.lease_grantor import LeaseGrantor
-from zincvale.coordination.messages import LeaseRedirect, MemberInfo
+from zincvale.coordination.lease_messages import LeaseRedirect
+from zincvale.coordination.member_messages import MemberInfo
 from zincvale.coordination.replica_sets import REGISTRY_KEY
 from zincvale.model.identifiers import Address, MemberId
 from zincvale.model.machine import Effect, Send
--- a/src/zincvale/coordination/repair.py
+++ b/src/zincvale/coordination/repair.py
@@ -13,7 +13,8 @@
 import attrs
 
 from zincvale.coordination.core_context import CoreContext
-from zincvale.coordination.messages import FetchValue, RenewLease
+from zincvale.coordination.lease_messages import RenewLease
+from zincvale.coordination.register_messages import FetchValue
 from zincvale.coordination.register_owner import RegisterOwner
 from zincvale.coordination.registry import counting_sets
 from zincvale.coordination.replica_sets import DELIVERED_KEYS, REGISTRY_KEY, ROLE_KEY_PREFIX
--- a/src/zincvale/coordination/replica_manager.py
+++ b/src/zincvale/coordination/replica_manager.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from zincvale.coordination.core_context import CoreContext
-from zincvale.coordination.messages import CoreStatus
+from zincvale.coordination.core_messages import CoreStatus
 from zincvale.coordination.register_owner import RegisterOwner
 from zincvale.coordination.replica_config import ReplicaConfig, member_of, replica_id
 from zincvale.coordination.replica_set_changes import (
--- a/src/zincvale/coordination/replica_sets.py
+++ b/src/zincvale/coordination/replica_sets.py
@@ -12,7 +12,7 @@
 import orjson
 
 from zincvale.coordination.changes import Rows
-from zincvale.coordination.messages import MemberInfo
+from zincvale.coordination.member_messages import MemberInfo
 from zincvale.coordination.replica_config import ReplicaConfig, ReplicaId, replica_id
 from zincvale.model.identifiers import MemberId
 
--- a/src/zincvale/coordination/topics.py
+++ b/src/zincvale/coordination/topics.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from zincvale.coordination.changes import TopicView
-from zincvale.coordination.messages import PublishTopic, TopicDelta
+from zincvale.coordination.delivery_messages import PublishTopic, TopicDelta
 from zincvale.coordination.tables import Difference, VersionedTable
 
 LEADERLESS_PREFIX = "listed-"
--- a/src/zincvale/daemons/process.py
+++ b/src/zincvale/daemons/process.py
@@ -12,6 +12,7 @@
 from tornado.ioloop import IOLoop
 from tornado.web import Application
 
+from zincvale.coordination import protocol as _protocol  # noqa: F401  messages by name
 from zincvale.model.identifiers import MemberId
 from zincvale.runtime import log_events
 from zincvale.runtime.driver import TICK_INTERVAL_MS, Machine, MachineDriver, Storage
--- a/src/zincvale/simulator/checks.py
+++ b/src/zincvale/simulator/checks.py
@@ -4,8 +4,8 @@
 
 import attrs
 
+from zincvale.coordination.change_messages import IN_FORCE, ChangeResult
 from zincvale.coordination.core_machine import CoreMachine
-from zincvale.coordination.messages import IN_FORCE, ChangeResult
 from zincvale.coordination.node_machine import NodeMachine
 from zincvale.coordination.replica_sets import INTENT_KEY, REGISTRY_KEY
 from zincvale.model.machine import Log
--- a/src/zincvale/simulator/mutations_of_registers.py
+++ b/src/zincvale/simulator/mutations_of_registers.py
@@ -12,8 +12,8 @@
 from zincvale.coordination import change_batch, node_lease, replica_config
 from zincvale.coordination.chosen_values import ChosenValues
 from zincvale.coordination.epochs import Epoch
-from zincvale.coordination.messages import Promise
 from zincvale.coordination.records import apply_update
+from zincvale.coordination.register_messages import Promise
 from zincvale.coordination.register_owner import RegisterOwner
 from zincvale.coordination.register_replica import RegisterReplica
 from zincvale.model.machine import Send, Write
--- a/src/zincvale/simulator/operators.py
+++ b/src/zincvale/simulator/operators.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from zincvale.coordination.messages import (
+from zincvale.coordination.change_messages import (
     CONFLICT,
     IN_FORCE,
     INVALID,
--- a/src/zincvale/simulator/run.py
+++ b/src/zincvale/simulator/run.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from zincvale.coordination.messages import IN_FORCE
+from zincvale.coordination.change_messages import IN_FORCE
 from zincvale.coordination.replica_sets import INTENT_KEY
 from zincvale.simulator.checks import Checks, InvariantBroken
 from zincvale.simulator.cluster import Cluster
--- a/tests/coordination/exploration.py
+++ b/tests/coordination/exploration.py
@@ -15,10 +15,11 @@
 import attrs
 from returns.result import Result, Success
 
+from zincvale.coordination.change_messages import ProposeChange
 from zincvale.coordination.changes import ChangeRefused, RowChange, Rows
 from zincvale.coordination.config import Timings
-from zincvale.coordination.messages import Accept, Prepare, ProposeChange
 from zincvale.coordination.recovered import RecoveredState
+from zincvale.coordination.register_messages import Accept, Prepare
 from zincvale.coordination.register_owner import ChosenNow, RegisterOwner
 from zincvale.coordination.register_replica import RegisterReplica
 from zincvale.coordination.replica_config import ReplicaConfig, replica_id
--- a/tests/coordination/pump.py
+++ b/tests/coordination/pump.py
@@ -11,10 +11,10 @@
 import orjson
 from returns.result import Failure, Result, Success
 
+from zincvale.coordination.change_messages import ChangeResult, ProposeChange
 from zincvale.coordination.changes import ChangeRefused, RowChange
 from zincvale.coordination.config import CoreConfig, InitialCore, NodeConfig, Timings
 from zincvale.coordination.core_machine import CoreMachine
-from zincvale.coordination.messages import ChangeResult, ProposeChange
 from zincvale.coordination.node_machine import NodeMachine
 from zincvale.coordination.recovered import RecoveredKey, RecoveredState
 from zincvale.model.identifiers import Address, MemberId, ZoneName
--- a/tests/coordination/test_creation.py
+++ b/tests/coordination/test_creation.py
@@ -11,8 +11,9 @@
 from zincvale.coordination.core_table import CoreTable
 from zincvale.coordination.creation import ClusterCreation
 from zincvale.coordination.epochs import Epoch, Position
-from zincvale.coordination.messages import Accept, MemberInfo, RecordUpdate
+from zincvale.coordination.member_messages import MemberInfo
 from zincvale.coordination.recovered import RecoveredState
+from zincvale.coordination.register_messages import Accept, RecordUpdate
 from zincvale.coordination.register_replica import RegisterReplica
 from zincvale.coordination.replica_config import ReplicaConfig
 from zincvale.coordination.replica_sets import REPLICA_SETS_KEY, CoreRow, first_rows
--- a/tests/coordination/test_delivery.py
+++ b/tests/coordination/test_delivery.py
@@ -3,8 +3,9 @@
 from testtools import TestCase
 
 from zincvale.coordination.config import Timings
+from zincvale.coordination.core_messages import TopicPosition
 from zincvale.coordination.delivery import DeliveryHost
-from zincvale.coordination.messages import Poll, PublishTopic, TopicPosition
+from zincvale.coordination.delivery_messages import Poll, PublishTopic
 from zincvale.coordination.tables import Difference, VersionedTable
 from zincvale.coordination.topics import TopicTables
 from zincvale.model.machine import Reply
--- a/tests/coordination/test_register.py
+++ b/tests/coordination/test_register.py
@@ -12,10 +12,10 @@
 from zincvale.coordination import replica_config
 from zincvale.coordination.config import Timings
 from zincvale.coordination.epochs import Epoch
-from zincvale.coordination.messages import Accept, Prepare, Promise, Refused
 from zincvale.coordination.record_files import ReplicaState
 from zincvale.coordination.records import Record
 from zincvale.coordination.recovered import RecoveredState
+from zincvale.coordination.register_messages import Accept, Prepare, Promise, Refused
 from zincvale.coordination.register_replica import RegisterReplica
 from zincvale.model.identifiers import MemberId
 from zincvale.model.machine import Send, Write
