Polls: patience doubles with each poll given up; large bodies between peers are compressed both ways

Ruled out: the reading of the list, processor time, the number of nodes. Change: patience with a poll doubles from 0.2 to 3.2 s until the node caught up; requests between peers are compressed as answers are, by the HTTP libraries' own support. Tests of transport, coordination, daemons and runtime pass.

--- a/src/zincvale/coordination/node_poller.py
+++ b/src/zincvale/coordination/node_poller.py
@@ -20,6 +20,9 @@
 
 POLL_PREFIX = "poll:"
 RETRY_S = 0.2
+LONGEST_BEHIND_S = 3.2
+"""Each poll that is given up for another core doubles the patience with the next one: a large
+answer takes long over a slow link, and polls given up while it comes would fill the link."""
 ISOLATED_RETRY_S = 1.0
 
 
@@ -36,6 +39,7 @@
         self._host: MemberId | None = None
         self._retry_at = 0.0
         self._behind_since: float | None = None
+        self._behind_patience_s = RETRY_S
         self.values = {key: VersionedTable() for key in keys}
         self.members = VersionedTable()
         self.members_source = ""
@@ -90,10 +94,12 @@
         """A core knows newer versions: when the poll does not bring them soon, poll there."""
         if all(table.version >= newest.get(key, 0) for key, table in self.values.items()):
             self._behind_since = None
+            self._behind_patience_s = RETRY_S
             return
         if self._behind_since is None:
             self._behind_since = now
-        elif now - self._behind_since >= RETRY_S and host != self._host:
+        elif now - self._behind_since >= self._behind_patience_s and host != self._host:
+            self._behind_patience_s = min(LONGEST_BEHIND_S, 2.0 * self._behind_patience_s)
             self.restart(host)
 
     def leave_silent_host(self, hosts: list[MemberId]) -> None:
--- a/src/zincvale/daemons/process.py
+++ b/src/zincvale/daemons/process.py
@@ -74,6 +74,7 @@
                 self.settings.peer_address,
                 "peer_address",
                 MAX_PEER_BODY_BYTES,
+                expands_bodies=True,
             )
         )
 
--- a/src/zincvale/runtime/listening.py
+++ b/src/zincvale/runtime/listening.py
@@ -24,11 +24,13 @@
     address: str,
     field_name: str,
     max_body_bytes: int,
+    expands_bodies: bool = False,
 ) -> HTTPServer:
     """Serve `application` at `address`; raises `StartFailed`.
 
     Headers that trickle in are cut off after `IDLE_CONNECTION_TIMEOUT_S`, bodies after
-    `BODY_TIMEOUT_S`.
+    `BODY_TIMEOUT_S`. With `expands_bodies` requests may come compressed by gzip: for peers only,
+    since nothing bounds what they expand to.
     """
     server = HTTPServer(
         application,
@@ -36,6 +38,7 @@
         body_timeout=BODY_TIMEOUT_S,
         max_header_size=MAX_HEADER_BYTES,
         max_body_size=max_body_bytes,
+        decompress_request=expands_bodies,
         max_buffer_size=max(max_body_bytes, 2 * MAX_HEADER_BYTES),
     )
     server.add_sockets(_bind(address, field_name))
--- a/src/zincvale/transport/answer_compressor.py
+++ b/src/zincvale/transport/compression.py
@@ -1,8 +1,8 @@
-"""Compresses large answers of a daemon to its peers, each content once.
+"""Compression of large bodies between peers.
 
-A document of many routes is a megabyte of rows, and the same bytes go to every poller: over a slow
-link they would take seconds and hold up the requests beside them. The client's library expands
-them.
+A document of many routes is a megabyte of rows: over a slow link it would take seconds and hold up
+the requests beside it. The HTTP libraries of both sides expand what is marked as compressed. The
+answer to polls is the same for many pollers, so the last ones are kept in their compressed form.
 """
 
 from __future__ import annotations
@@ -10,12 +10,19 @@
 import gzip
 from collections import OrderedDict
 
+GZIP = "gzip"
+"""The content coding, as headers name it."""
 LEAST_COMPRESSED_BYTES = 8 * 1024
-"""Smaller answers cost more to compress than to send."""
+"""Smaller bodies cost more to compress than to send."""
 LEVEL = 1
 KEPT_ANSWERS = 3
 
 
+def compressed(body: bytes) -> bytes:
+    """Return `body` by gzip; equal bodies give equal bytes."""
+    return gzip.compress(body, LEVEL, mtime=0)
+
+
 class AnswerCompressor:
     """Remembers the last few large answers in their compressed form."""
 
@@ -30,7 +37,7 @@
         """Return `body` compressed by gzip; the same bytes for the same body."""
         known = self._compressed.get(body)
         if known is None:
-            known = self._compressed[body] = gzip.compress(body, LEVEL, mtime=0)
+            known = self._compressed[body] = compressed(body)
         self._compressed.move_to_end(body)
         while len(self._compressed) > KEPT_ANSWERS:
             self._compressed.popitem(last=False)
--- a/src/zincvale/transport/peer_client.py
+++ b/src/zincvale/transport/peer_client.py
@@ -14,6 +14,7 @@
 from zincvale.model.errors import MalformedBody
 from zincvale.model.identifiers import MemberId
 from zincvale.transport.codec import Batch, decode_batch, encode_batch
+from zincvale.transport.compression import GZIP, LEAST_COMPRESSED_BYTES, compressed
 from zincvale.transport.peer import PeerCallFailed, PeerNotReached
 
 CURL_COULD_NOT_CONNECT = 7
@@ -152,11 +153,15 @@
                 messages,
             )
         )
+        headers = {"Content-Type": BATCH_CONTENT_TYPE, "Expect": ""}
+        if len(body) >= LEAST_COMPRESSED_BYTES:
+            body = compressed(body)
+            headers["Content-Encoding"] = GZIP
         request = HTTPRequest(
             f"http://{address}{path}",
             method="POST",
             body=body,
-            headers={"Content-Type": BATCH_CONTENT_TYPE, "Expect": ""},
+            headers=headers,
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=timeout_s,
         )
--- a/src/zincvale/transport/peer_server.py
+++ b/src/zincvale/transport/peer_server.py
@@ -20,8 +20,8 @@
 
 from zincvale.model.errors import MalformedBody, WrongCluster, ZincvaleError
 from zincvale.model.identifiers import MemberId
-from zincvale.transport.answer_compressor import LEAST_COMPRESSED_BYTES, AnswerCompressor
 from zincvale.transport.codec import Batch, decode_batch, encode_batch
+from zincvale.transport.compression import GZIP, LEAST_COMPRESSED_BYTES, AnswerCompressor
 from zincvale.transport.peer_client import BATCH_CONTENT_TYPE, PeerIdentity
 
 MAX_PEER_BODY_BYTES = 64 * 1024 * 1024
@@ -29,7 +29,6 @@
 CALL_TARGET = ("POST", "/peer/call")
 JSON_CONTENT_TYPE = "application/json"
 NO_CONTENT = 204
-GZIP = "gzip"
 
 
 class PeerEndpoint(Protocol):
--- /dev/null
+++ b/tests/coordination/test_node_poller.py
@@ -0,0 +1,56 @@
+"""When a node gives a poll up for another core."""
+
+import random
+
+from testtools import TestCase
+
+from zincvale.coordination.config import NodeConfig
+from zincvale.coordination.delivery_messages import PollAnswer
+from zincvale.coordination.node_poller import LONGEST_BEHIND_S, NodePoller
+from zincvale.coordination.register_messages import TableDelta
+
+HOSTS = ["core-1", "core-2"]
+STEP_S = 0.05
+
+
+class BehindTest(TestCase):
+    """Cores say that something newer exists, and the poll under way does not bring it."""
+
+    def setUp(self):
+        super().setUp()
+        config = NodeConfig("c", "n1", "i1", "z1", "r", "10.0.0.1:1", "10.0.0.1:2")
+        self.poller = NodePoller(config, ("intent",), random.Random(1))
+        self.now = 0.0
+        self.polls = list(self.poller.tick(HOSTS, self.now))
+
+    def wait(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            for host in HOSTS:
+                self.poller.note_newest(host, {"intent": 5}, self.now)
+            self.polls += self.poller.tick(HOSTS, self.now)
+
+    def test_the_first_poll_is_given_up_soon(self):
+        self.wait(0.4)
+        self.assertEqual(2, len(self.polls))
+
+    def test_a_large_answer_over_a_slow_link_is_not_asked_for_again_and_again(self):
+        self.wait(20.0)
+        self.assertLess(len(self.polls), 12)
+        gaps = 20.0 / (len(self.polls) - 4)
+        self.assertLess(gaps, 2 * LONGEST_BEHIND_S)
+
+    def test_after_it_caught_up_it_is_impatient_again(self):
+        self.wait(20.0)
+        whole = PollAnswer([TableDelta("intent", None, 5, {"row": b"x"}, [])], [], "", None)
+        self.poller.handle_answer(self.polls[-1].token, whole, self.now)
+        self.polls = list(self.poller.tick(HOSTS, self.now))
+        self.poller.note_newest(HOSTS[0], {"intent": 5}, self.now)
+        before = len(self.polls)
+        for _ in range(8):
+            self.now += STEP_S
+            for host in HOSTS:
+                self.poller.note_newest(host, {"intent": 6}, self.now)
+            self.polls += self.poller.tick(HOSTS, self.now)
+        self.assertEqual(before + 1, len(self.polls))
