--- a/src/zincvale/simulator/forwarding_model.py
+++ b/src/zincvale/simulator/forwarding_model.py
@@ -114,6 +114,7 @@
         self._evacuated: frozenset[str] = frozenset()
         self._versions = 0
         self._nodes = [self._node(place) for place in range(NODES)]
+        self._directory_versions = [0] * NODES
 
     def play(self) -> None:
         """Run the whole day and what is left of it."""
@@ -167,12 +168,18 @@
     def _tell(self, what: str) -> None:
         """Bring news to every node, to each at another moment and never out of order."""
         document, directory = self._document(), self._directory()
-        for node in self._nodes:
+        for place, node in enumerate(self._nodes):
             delay_s = self._random.uniform(*NEWS_DELAY_S)
             if what == "document":
                 self._loop.call_later(delay_s, node.apply_document, document)
             else:
-                self._loop.call_later(delay_s, _apply_newer, node, directory)
+                self._loop.call_later(delay_s, self._apply_newer, place, directory)
+
+    def _apply_newer(self, place: int, directory: Directory) -> None:
+        """Bring a directory to a node, unless a newer one overtook it."""
+        if directory.version > self._directory_versions[place]:
+            self._directory_versions[place] = directory.version
+            self._nodes[place].apply_directory(directory)
 
     def _document(self) -> ForwardingDocument:
         self._versions += 1
@@ -263,12 +270,6 @@
     server.conduct = Conduct.WELL
 
 
-def _apply_newer(node: ForwardingService, directory: Directory) -> None:
-    if directory.version > getattr(node, "model_directory", 0):
-        setattr(node, "model_directory", directory.version)  # noqa: B010
-        node.apply_directory(directory)
-
-
 def _row(server: ModelServer, now: float) -> ServerRow:
     return ServerRow(
         server=ServerId(server.name),
--- a/src/zincvale/simulator/forwarding_servers.py
+++ b/src/zincvale/simulator/forwarding_servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+from collections.abc import Callable
 from random import Random
 
 import attrs
@@ -79,15 +80,15 @@
 
     Parameters
     ----------
-    draining, evacuated : return what this node knows now, for the journal.
+    knows_draining, knows_evacuated : tell what this node knows of a server now, for the journal.
     """
 
     node: str
     servers: dict[str, ModelServer]
     journal: ForwardingJournal
     random: Random
-    knows_draining: object
-    knows_evacuated: object
+    knows_draining: Callable[[ModelServer], bool]
+    knows_evacuated: Callable[[ModelServer], bool]
 
     def start(
         self, address: str, incarnation: str, request: OutgoingRequest, listener: AnswerListener
@@ -129,9 +130,7 @@
         self._request_id = self._headers[REQUEST_ID]
         self._is_stream = request.target.startswith("/stream")
         self._incarnation = server.incarnation
-        draining, evacuated = client.knows_draining, client.knows_evacuated
-        assert callable(draining) and callable(evacuated)
-        self._knew = (draining(server), evacuated(server))
+        self._knew = (client.knows_draining(server), client.knows_evacuated(server))
         self._resumed_after = int(self._headers.get(LAST_EVENT_ID, "") or 0)
 
     def not_connected(self) -> None:
