--- a/src/zincvale/bench/tracing_node.py
+++ b/src/zincvale/bench/tracing_node.py
@@ -15,58 +15,20 @@
 import signal
 import sys
 import time
-from collections.abc import Mapping
 from types import FrameType
 from typing import Any
 
 import attrs
 
 from zincvale.bench import relay_process
-from zincvale.tracing.context import TraceContext
+from zincvale.tracing.no_spans import NoSpans
 from zincvale.tracing.service import TracingService
-from zincvale.tracing.spans import AttributeValue
 
 UNTRACED = "untraced"
 TRACED = "traced"
 FLEET_NODES = 8
 SAMPLE_S = 0.004
 TRACING_FOLDER = "/zincvale/tracing/"
-NO_CONTEXT = TraceContext("0" * 32, "0" * 16, False)  # type: ignore[arg-type]
-
-
-class NoSpan:
-    """A span that keeps nothing."""
-
-    context = NO_CONTEXT
-
-    def set(self, name: str, value: AttributeValue) -> None:
-        """Keep nothing."""
-
-    def event(self, name: str, **attributes: AttributeValue) -> None:
-        """Keep nothing."""
-
-    def error(self, message: str) -> None:
-        """Keep nothing."""
-
-    def end(self) -> None:
-        """Keep nothing."""
-
-
-class NoSpans:
-    """A recorder that records nothing."""
-
-    def start(
-        self,
-        name: str,
-        trace: Any = None,
-        parent: str | None = None,
-        attributes: Mapping[str, AttributeValue] | None = None,
-    ) -> NoSpan:
-        """Return the span that keeps nothing."""
-        return _NO_SPAN
-
-
-_NO_SPAN = NoSpan()
 
 
 @attrs.define(eq=False)
--- a/src/zincvale/simulator/forwarding_checks.py
+++ b/src/zincvale/simulator/forwarding_checks.py
@@ -11,8 +11,6 @@
 
 PROMISES = frozenset({408, 421, 429, 503})
 LATE_S = 0.05
-MAX_SENDS_BEYOND_ATTEMPTS = 3
-"""Misdirected sends reach no server of the pool and count as no attempt."""
 
 Check = Callable[[ForwardingJournal], Iterator[str]]
 
@@ -94,14 +92,17 @@
 
 
 def retries_within(terms: RetryTerms) -> Check:
-    """Return the check of second arrivals over all nodes, in windows that slide."""
+    """Return the check of second arrivals over all nodes, in windows that slide.
+
+    Every arrival beyond a request's first counts, also one that its server turned away.
+    """
 
     def check(journal: ForwardingJournal) -> Iterator[str]:
         seen: Counter[str] = Counter()
         repeats: list[float] = []
         for arrival in journal.arrivals:
             seen[arrival.request_id] += 1
-            if seen[arrival.request_id] > 1 and not arrival.misdirected:
+            if seen[arrival.request_id] > 1:
                 repeats.append(arrival.at)
         asked = [caller.asked_at for caller in journal.callers.values()]
         for start in repeats:
--- a/src/zincvale/simulator/forwarding_journal.py
+++ b/src/zincvale/simulator/forwarding_journal.py
@@ -21,7 +21,6 @@
     """One request as its caller saw it. Times are seconds."""
 
     request_id: str
-    pool: str
     attempts: int
     may_repeat: bool
     is_stream: bool
--- a/src/zincvale/simulator/forwarding_model.py
+++ b/src/zincvale/simulator/forwarding_model.py
@@ -37,6 +37,7 @@
 from zincvale.simulator.forwarding_journal import CallerRecord, Ending, ForwardingJournal
 from zincvale.simulator.forwarding_servers import Conduct, ModelClient, ModelServer
 from zincvale.simulator.virtual_loop import VirtualLoop
+from zincvale.tracing.no_spans import NoSpans
 from zincvale.transport.server_exchange import HeaderList
 
 HOST = "model.example"
@@ -140,7 +141,7 @@
             ZoneName(ZONES[place % len(ZONES)]),
             ForwardingTerms(RETRIES, COLD),
             NativeDialect(),
-            _NoSpans(),
+            NoSpans(),
             self._random,
             self._loop.time,
             lambda: None,
@@ -219,7 +220,6 @@
         request_id = f"q{len(self.journal.callers)}"
         record = CallerRecord(
             request_id,
-            POOL,
             route.attempts,
             route.repeatable or route.resumable,
             route.streaming,
@@ -326,25 +326,3 @@
         if self._record.ending is Ending.OPEN:
             self._record.ending = ending
             self._record.ended_at = self._loop.time()
-
-
-class _NoSpans:
-    """The record is not modelled."""
-
-    context = None
-
-    def start(self, *arguments: Any, **options: Any) -> Any:
-        """Return something that takes every call."""
-        return self
-
-    def set(self, *arguments: Any) -> None:
-        """Note nothing."""
-
-    def event(self, *arguments: Any, **options: Any) -> None:
-        """Note nothing."""
-
-    def error(self, *arguments: Any) -> None:
-        """Note nothing."""
-
-    def end(self) -> None:
-        """Note nothing."""
--- a/src/zincvale/transport/peer_server.py
+++ b/src/zincvale/transport/peer_server.py
@@ -137,7 +137,7 @@
         self._takes_gzip = GZIP in headers.get("Accept-Encoding", "")
 
     def data_received(self, chunk: bytes) -> None:
-        """Keep a part of the body; the HTTP server bounds its size."""
+        """Keep a part of the body; the HTTP server bounds its size before it is expanded."""
         self._body.append(chunk)
 
     def finish(self) -> None:
