--- a/src/zincvale/coordination/core_inputs.py
+++ b/src/zincvale/coordination/core_inputs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from zincvale.coordination.change_messages import ForwardChange, ProposeChange, ReplaceReplica
-from zincvale.coordination.core_messages import CoreStatus, CreateCluster, HeldReport
+from zincvale.coordination.core_messages import AskCores, CoreStatus, CreateCluster, HeldReport
 from zincvale.coordination.core_parts import CoreParts
 from zincvale.coordination.delivery_messages import FetchTopic, Poll, PublishTopic, TopicUpdate
 from zincvale.coordination.lease_messages import (
@@ -85,6 +85,8 @@
             return _handle_status(parts, sender, message, now)
         case CreateCluster():
             return parts.creation.handle(sender, message, now)
+        case AskCores():
+            return [Send(sender, LeaseRedirect(parts.leases.core_infos(), "asked"))]
         case LeaseRedirect(cores, _):
             for info in cores:
                 parts.context.cores.note_core(info)
--- a/src/zincvale/coordination/core_messages.py
+++ b/src/zincvale/coordination/core_messages.py
@@ -57,6 +57,12 @@
     """Roles for which the sender's grant to some holder is live."""
 
 
+@peer_message("core.ask")
+@attrs.frozen
+class AskCores:
+    """Ask a process which cores it knows; it answers with `LeaseRedirect`."""
+
+
 @peer_message("core.create")
 @attrs.frozen
 class CreateCluster:
--- a/src/zincvale/coordination/log_events.py
+++ b/src/zincvale/coordination/log_events.py
@@ -22,4 +22,9 @@
 VALUE_RESTORED = declare(
     2012, "value.restored", "The replicas had lost a version that a node held; it is written again."
 )
+CORE_STANDS_BY = declare(
+    2014,
+    "core.stands-by",
+    "A core process without a data folder has no vote; it sends callers to cores that vote.",
+)
 REPLICAS_CHANGED = declare(2013, "replicas.changed", "The declared replica sets changed.")
--- a/src/zincvale/coordination/node_machine.py
+++ b/src/zincvale/coordination/node_machine.py
@@ -7,7 +7,7 @@
 from zincvale.coordination import log_events
 from zincvale.coordination.changes import ChangeNotes, KeyView, TopicView
 from zincvale.coordination.config import NodeConfig
-from zincvale.coordination.core_messages import CoreStatus
+from zincvale.coordination.core_messages import AskCores, CoreStatus
 from zincvale.coordination.delivery import DeliveryHost, table_delta
 from zincvale.coordination.delivery_messages import Poll, PollAnswer
 from zincvale.coordination.lease_messages import (
@@ -138,7 +138,7 @@
                 self._lease.learn_cores(cores)
                 if can_grant and not self._has_lease(now):
                     return self._renew(now)
-            case RenewLease() | CoreStatus() if self._lease.cores:
+            case RenewLease() | CoreStatus() | AskCores() if self._lease.cores:
                 return [Send(sender, LeaseRedirect(list(self._lease.cores.values()), "a node"))]
             case IslandProbe() if self._may_give_evidence(now):
                 return self._island.answer(
--- /dev/null
+++ b/src/zincvale/coordination/standby_machine.py
@@ -0,0 +1,151 @@
+"""The state machine of a core process that has no disk.
+
+Without a disk it can promise nothing, so it never votes, owns no key, holds no role and shows no
+control state. It knows where the cores are, and tells whoever asks it for first contact: operators,
+and daemons whose seeds name it. One small exchange every few seconds keeps that knowledge.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from zincvale.coordination import log_events
+from zincvale.coordination.core_messages import AskCores, CoreStatus
+from zincvale.coordination.lease_messages import LeaseRedirect, RenewLease
+from zincvale.coordination.member_messages import MemberInfo
+from zincvale.model.identifiers import Address, MemberId, ZoneName
+from zincvale.model.machine import Effect, Input, Log, MessageReceived, Send, Tick
+
+ASK_INTERVAL_S = 2.0
+"""How often a core that answers is asked again."""
+ASK_AGAIN_S = 0.5
+"""How often every core known and every seed is asked while none answers."""
+ANSWERS_WITHIN_S = 2.5
+"""A core that was not heard for longer is not named to operators while another one was."""
+FORGET_S = 60.0
+"""A core that no answer names for so long, while others are named, has left the cluster."""
+REASON = "this process has no disk and no vote"
+
+
+@attrs.frozen
+class StandbyConfig:
+    """What a standby is told at its start."""
+
+    member: MemberId
+    zone: ZoneName
+    seeds: tuple[Address, ...] = ()
+    """Peer addresses for first contact only."""
+
+
+@attrs.define
+class _KnownCore:
+    info: MemberInfo
+    named_at: float
+    heard_at: float = float("-inf")
+
+
+class StandbyMachine:
+    """One core process without a disk.
+
+    Parameters
+    ----------
+    config : who this process is.
+    random_source : the only source of randomness.
+    """
+
+    def __init__(self, config: StandbyConfig, random_source: random.Random) -> None:
+        self._config = config
+        self._random = random_source
+        self._cores: dict[MemberId, _KnownCore] = {}
+        self._ask_at = float("-inf")
+        self._has_started = False
+
+    # --- inputs ---------------------------------------------------------------------------
+
+    def handle(self, event: Input, now: float) -> list[Effect]:
+        """Apply one input and return what to do."""
+        match event:
+            case Tick():
+                return self._tick(now)
+            case MessageReceived(sender, LeaseRedirect(cores)):
+                self._learn(sender, cores, now)
+            case MessageReceived(sender, CoreStatus(info) as status):
+                is_of_cluster = bool(status.cluster_incarnation)
+                self._learn(sender, [info] if is_of_cluster or not self._cores else [], now)
+                return self._redirect(sender)
+            case MessageReceived(sender, RenewLease() | AskCores()):
+                return self._redirect(sender)
+        return []
+
+    def _tick(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if not self._has_started:
+            self._has_started = True
+            effects.append(Log(log_events.CORE_STANDS_BY, {"zone": str(self._config.zone)}))
+        if now < self._ask_at:
+            return effects
+        self._forget(now)
+        answering = self._answering(now)
+        if answering:
+            self._ask_at = now + ASK_INTERVAL_S
+            targets = [self._nearest(answering)]
+        else:
+            self._ask_at = now + ASK_AGAIN_S
+            targets = [*self._cores, *(MemberId(f"@{seed}") for seed in self._config.seeds)]
+        return [*effects, *(Send(target, AskCores()) for target in targets)]
+
+    def _learn(self, sender: MemberId, infos: list[MemberInfo], now: float) -> None:
+        """Remember the cores that a process named; a core that answers was heard."""
+        for info in infos:
+            member = MemberId(info.member)
+            before = self._cores.get(member)
+            heard_at = before.heard_at if before is not None else float("-inf")
+            self._cores[member] = _KnownCore(info, now, heard_at)
+        if sender in self._cores:
+            self._cores[sender].heard_at = now
+
+    def _redirect(self, sender: MemberId) -> list[Effect]:
+        if not self._cores:
+            return []
+        infos = [core.info for core in self._cores.values()]
+        return [Send(sender, LeaseRedirect(infos, REASON))]
+
+    def _forget(self, now: float) -> None:
+        newest = max((core.named_at for core in self._cores.values()), default=now)
+        for member, core in list(self._cores.items()):
+            if newest - core.named_at > FORGET_S:
+                del self._cores[member]
+
+    def _answering(self, now: float) -> list[MemberId]:
+        return [
+            member
+            for member, core in self._cores.items()
+            if now - core.heard_at <= ANSWERS_WITHIN_S
+        ]
+
+    def _nearest(self, members: list[MemberId]) -> MemberId:
+        """Return one of `members`, of this process's zone if there is one."""
+        zone = self._config.zone
+        near = [member for member in members if self._cores[member].info.zone == zone]
+        return self._random.choice(near or members)
+
+    # --- queries --------------------------------------------------------------------------
+
+    def core_for_operators(self, now: float) -> Address | None:
+        """Return where operators reach a core: one heard lately, else any that is known."""
+        members = self._answering(now) or list(self._cores)
+        if not members:
+            return None
+        return Address(self._cores[self._nearest(members)].info.api_address)
+
+    def address_of(self, member: MemberId) -> Address | None:
+        """Return the peer address of a core, if known."""
+        core = self._cores.get(member)
+        return Address(core.info.peer_address) if core is not None else None
+
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other peer addresses for first contact."""
+        addresses = tuple(Address(seed) for seed in seeds)
+        self._config = attrs.evolve(self._config, seeds=addresses)
--- /dev/null
+++ b/src/zincvale/daemons/standby_daemon.py
@@ -0,0 +1,85 @@
+"""The daemon of a core role on a machine without a disk: it sends operators to the cores."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from tornado.web import Application, RequestHandler
+
+from zincvale.coordination.standby_machine import StandbyConfig, StandbyMachine
+from zincvale.daemons.process import NO_DRAIN, build_process
+from zincvale.model.identifiers import Address, MemberId, ZoneName
+from zincvale.runtime.clock import suspend_aware_now
+from zincvale.runtime.incarnation import new_incarnation
+from zincvale.runtime.settings import DaemonSettings
+
+TICK_MS = 250
+"""A standby has nothing to do between its questions to the cores."""
+TEMPORARY_REDIRECT = 307
+UNAVAILABLE = 503
+
+
+class StandbyDaemon:
+    """Assembles one standby process."""
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        incarnation = new_incarnation()
+        config = StandbyConfig(
+            MemberId(settings.member_id),
+            ZoneName(settings.zone),
+            tuple(Address(seed) for seed in settings.seeds),
+        )
+        self.machine = StandbyMachine(config, random.Random(incarnation))
+        self.process = build_process(
+            settings,
+            incarnation,
+            self.machine,
+            suspend_aware_now,
+            None,
+            self.machine.address_of,
+            _after_input,
+            TICK_MS,
+        )
+
+    def run(self) -> None:
+        """Serve until told to stop."""
+        self.process.listen(operator_application(self.machine))
+        self.process.run(NO_DRAIN)
+
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take seeds that changed while the process runs."""
+        self.machine.use_seeds(seeds)
+
+
+def operator_application(machine: StandbyMachine) -> Application:
+    """Return the HTTP application that redirects operators to a core."""
+    routes = [(r"/.*", RedirectHandler, {"machine": machine})]
+    return Application(routes, log_function=_ignore_request)
+
+
+class RedirectHandler(RequestHandler):
+    """Every path and method: the same call at a core, or 503 while none is known."""
+
+    def initialize(self, machine: StandbyMachine) -> None:
+        """Take the machine that knows the cores."""
+        self.machine = machine
+
+    def prepare(self) -> None:
+        """Answer the request, whatever its method; tornado then runs no method of its own."""
+        address = self.machine.core_for_operators(suspend_aware_now())
+        if address is None:
+            self.set_status(UNAVAILABLE)
+            self.finish({"error": "no core is known here yet; send the same call to another one"})
+            return
+        self.set_status(TEMPORARY_REDIRECT)
+        self.set_header("Location", f"http://{address}{self.request.uri}")
+        self.finish()
+
+
+def _after_input() -> None:
+    """A standby keeps no views that follow its machine."""
+
+
+def _ignore_request(handler: Any) -> None:
+    """Write no access log."""
--- a/src/zincvale/platform/main.py
+++ b/src/zincvale/platform/main.py
@@ -39,8 +39,10 @@
 
 
 def _run(role: str, settings: ProcessSettings) -> None:
-    if role == "core":
+    if role == "core" and settings.daemon.data_folder:
         _run_core(settings)
+    elif role == "core":
+        _run_standby(settings)
     else:
         _run_node(settings)
 
@@ -63,6 +65,15 @@
     core.run()
 
 
+def _run_standby(settings: ProcessSettings) -> None:
+    """A machine without a disk can hold no vote; its process stands by."""
+    from zincvale.daemons.standby_daemon import StandbyDaemon
+
+    standby = StandbyDaemon(settings.daemon)
+    _watch_settings("core", standby.use_seeds, standby.process)
+    standby.run()
+
+
 def _run_node(settings: ProcessSettings) -> None:
     from zincvale.daemons.forwarding_node import ForwardingNode
     from zincvale.platform.callers import PlatformForwarding
--- a/tests/coordination/pump.py
+++ b/tests/coordination/pump.py
@@ -17,6 +17,7 @@
 from zincvale.coordination.core_machine import CoreMachine
 from zincvale.coordination.node_machine import NodeMachine
 from zincvale.coordination.recovered import RecoveredKey, RecoveredState
+from zincvale.coordination.standby_machine import StandbyConfig, StandbyMachine
 from zincvale.model.identifiers import Address, MemberId, ZoneName
 from zincvale.model.machine import (
     Call,
@@ -95,10 +96,12 @@
         nodes: int = 3,
         timings: Timings | None = None,
         roles: Any = ("placer",),
+        group_size: int = 3,
     ) -> None:
         self.random = random.Random(seed)
         self.timings = timings or Timings()
         self.roles = tuple(roles)
+        self.group_size = group_size
         self.now = 100.0
         self.processes: dict[str, Process] = {}
         self.disks: dict[str, Disk] = {}
@@ -144,6 +147,7 @@
             recover=recover,
             initial_cores=initial if bootstrap else (),
             roles=self.roles,
+            group_size=self.group_size,
             timings=self.timings,
         )
         machine = CoreMachine(config, disk.load(), {"intent": reduce_intent}, self.random, self.now)
@@ -163,6 +167,14 @@
         )
         self._run(member, NodeMachine(config, self.random, self.now))
 
+    def start_standby(self, member: str, seeds: Any = CORES) -> None:
+        config = StandbyConfig(
+            member=MemberId(member),
+            zone=ZoneName(f"z{member}"),
+            seeds=tuple(self.address(seed) for seed in seeds),
+        )
+        self._run(member, StandbyMachine(config, self.random))
+
     def kill(self, member: str) -> None:
         process = self.processes.pop(member)
         for callee, caller in list(self._callers.items()):
--- /dev/null
+++ b/tests/coordination/test_standby.py
@@ -0,0 +1,191 @@
+"""A core process without a disk: it never votes, and shows everybody the way to those that do."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+
+from tests.coordination.pump import CORES, Cluster
+from zincvale.coordination import log_events
+from zincvale.coordination.core_messages import AskCores
+from zincvale.coordination.lease_messages import LeaseRedirect
+from zincvale.coordination.member_messages import MemberInfo
+from zincvale.coordination.standby_machine import (
+    ANSWERS_WITHIN_S,
+    ASK_AGAIN_S,
+    ASK_INTERVAL_S,
+    FORGET_S,
+    StandbyConfig,
+    StandbyMachine,
+)
+from zincvale.model.identifiers import Address, MemberId, ZoneName
+from zincvale.model.machine import Effect, Log, MessageReceived, Send, Tick
+
+STANDBY = "standby-9"
+
+
+def core(name: str, zone: str = "z2") -> MemberInfo:
+    return MemberInfo(name, "core", zone, f"{name}:api", f"{name}:peer", "run")
+
+
+class StandbyMachineTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        config = StandbyConfig(MemberId(STANDBY), ZoneName("z1"), (Address("seed:1"),))
+        self.machine = StandbyMachine(config, random.Random(1))
+
+    def asked(self, now: float) -> list[str]:
+        effects = self.machine.handle(Tick(), now)
+        return [each.to for each in effects if isinstance(each, Send)]
+
+    def told(self, sender: str, *cores: MemberInfo, now: float) -> list[Effect]:
+        message = LeaseRedirect(list(cores), "asked")
+        return self.machine.handle(MessageReceived(MemberId(sender), message), now)
+
+    def test_it_says_once_that_it_has_no_vote(self) -> None:
+        first = [each for each in self.machine.handle(Tick(), 0.0) if isinstance(each, Log)]
+        later = [each for each in self.machine.handle(Tick(), 9.0) if isinstance(each, Log)]
+        self.assertEqual([log_events.CORE_STANDS_BY], [each.number for each in first])
+        self.assertEqual([], later)
+
+    def test_it_asks_its_seeds_until_a_core_answers(self) -> None:
+        self.assertEqual(["@seed:1"], self.asked(0.0))
+        self.assertEqual([], self.asked(ASK_AGAIN_S / 2))
+        self.assertEqual(["@seed:1"], self.asked(ASK_AGAIN_S))
+
+    def test_then_it_asks_one_core_seldom_the_one_of_its_zone(self) -> None:
+        self.asked(0.0)
+        near, far = core("near", "z1"), core("far")
+        self.told("near", near, far, now=0.1)
+        self.told("far", near, far, now=0.1)
+        self.assertEqual(["near"], self.asked(ASK_AGAIN_S))
+        self.assertEqual([], self.asked(ASK_AGAIN_S + ASK_INTERVAL_S / 2))
+
+    def test_what_it_was_told_is_all_that_it_tells(self) -> None:
+        ask = MessageReceived(MemberId("node-1"), AskCores())
+        self.assertEqual([], self.machine.handle(ask, 0.0))
+        self.told("a", core("a"), core("b"), now=0.1)
+        (answer,) = self.machine.handle(ask, 0.2)
+        self.assertEqual(["a", "b"], [info.member for info in answer.message.cores])
+        self.assertFalse(answer.message.can_grant)
+
+    def test_operators_are_sent_to_a_core_that_answers(self) -> None:
+        self.assertIsNone(self.machine.core_for_operators(0.0))
+        self.told("a", core("a"), core("b"), now=0.0)
+        self.assertEqual("a:api", self.machine.core_for_operators(1.0))
+        self.told("b", core("a"), core("b"), now=ANSWERS_WITHIN_S + 0.1)
+        self.assertEqual("b:api", self.machine.core_for_operators(ANSWERS_WITHIN_S + 0.2))
+
+    def test_when_none_answers_operators_are_sent_to_any(self) -> None:
+        self.told("a", core("a"), now=0.0)
+        self.assertEqual("a:api", self.machine.core_for_operators(100.0))
+
+    def test_the_word_of_another_process_is_no_sign_of_life(self) -> None:
+        self.told("node-1", core("a"), core("b"), now=0.0)
+        self.assertEqual({"a", "b", "@seed:1"}, set(self.asked(0.0)))
+
+    def test_a_core_that_left_is_forgotten(self) -> None:
+        self.told("a", core("a"), core("gone"), now=0.0)
+        self.told("a", core("a"), now=FORGET_S + 1.0)
+        self.asked(FORGET_S + 2.0)
+        self.assertIsNone(self.machine.address_of(MemberId("gone")))
+        self.assertEqual("a:peer", self.machine.address_of(MemberId("a")))
+
+    def test_cut_off_for_long_it_forgets_nobody(self) -> None:
+        self.told("a", core("a"), core("b"), now=0.0)
+        self.asked(10 * FORGET_S)
+        self.assertEqual("b:peer", self.machine.address_of(MemberId("b")))
+
+    def test_exchanged_seeds_are_asked(self) -> None:
+        self.machine.use_seeds(("other:1",))
+        self.assertEqual(["@other:1"], self.asked(0.0))
+
+
+class StandbyInClusterTest(testtools.TestCase):
+    def started(self, group_size: int = 3) -> Cluster:
+        cluster = Cluster(nodes=1, group_size=group_size)
+        cluster.start_standby(STANDBY)
+        return cluster.started()
+
+    def test_a_node_whose_only_seed_stands_by_gets_ready(self) -> None:
+        cluster = self.started()
+        cluster.start_node("node-2", seeds=(STANDBY,))
+        self.assertTrue(cluster.run_until(cluster.all_ready, 6.0))
+
+    def test_an_empty_core_whose_only_seed_stands_by_joins(self) -> None:
+        cluster = self.started(group_size=5)
+        cluster.start_core("core-4", seeds=(STANDBY,))
+        self.assertTrue(cluster.run_until(lambda: self.voters(cluster) == 4, 20.0))
+
+    def test_it_is_no_member_and_holds_no_vote_and_no_role(self) -> None:
+        cluster = self.started()
+        cluster.run(20.0)
+        for name in CORES:
+            machine = cluster.core(name)
+            self.assertNotIn(STANDBY, str(machine.replica_sets()))
+            self.assertNotIn(STANDBY, str(machine.members(cluster.now)))
+            self.assertNotIn(STANDBY, str(machine.role_holders(cluster.now)))
+
+    def test_its_death_holds_nothing_up(self) -> None:
+        cluster = self.started()
+        cluster.kill(STANDBY)
+        result = cluster.change("core-1", "o1", {"a": "1"})
+        self.assertEqual("in-force", result.status)
+
+    def test_it_finds_the_cores_again_after_all_were_replaced(self) -> None:
+        cluster = self.started()
+        for number, old in enumerate(CORES, start=4):
+            cluster.start_core(f"core-{number}", seeds=(STANDBY,))
+            cluster.run(4.0)
+            cluster.kill(old)
+            cluster.run(20.0)
+        standby = cluster.processes[STANDBY].machine
+        replaced = {cluster.address(f"core-{number}") for number in (4, 5, 6)}
+        self.assertIn(standby.core_for_operators(cluster.now), replaced)
+
+    def voters(self, cluster: Cluster) -> int:
+        return len(cluster.core("core-1").replica_sets().grantors().replicas)
+
+
+class FiveDisksTest(testtools.TestCase):
+    """Five disks, of which two may be lost: three create the cluster, two join."""
+
+    def grown(self, seed: int) -> Cluster:
+        cluster = Cluster(seed, nodes=1, group_size=5)
+        for name in ("core-4", "core-5"):
+            cluster.start_core(name)
+        cluster.started()
+        sets = cluster.core("core-1").replica_sets
+        is_grown = cluster.run_until(
+            lambda: len(sets().grantors().replicas) == 5 and not sets().grantors().previous, 40.0
+        )
+        self.assertTrue(is_grown)
+        return cluster
+
+    def test_two_disks_are_lost_while_everything_else_loses_power(self) -> None:
+        names = [*CORES, "core-4", "core-5"]
+        for seed in range(1, 9):
+            cluster = self.grown(seed)
+            result = cluster.change("core-5", "o1", {"a": "1"})
+            self.assertEqual("in-force", result.status)
+            lost = cluster.random.sample(names, 2)
+            for name in [*names, "node-1"]:
+                cluster.kill(name)
+            for name in lost:
+                cluster.lose_disk(name)
+            for name in names:
+                cluster.start_core(name, seeds=tuple(names))
+            cluster.start_node("node-1", seeds=tuple(names))
+            self.assertTrue(cluster.run_until(cluster.all_ready, 12.0), (seed, lost))
+            self.assertEqual({"a": b"1"}, cluster.node("node-1").intent().rows, (seed, lost))
+
+    def test_changes_go_on_without_any_two(self) -> None:
+        for seed in range(1, 5):
+            cluster = self.grown(seed)
+            names = [*CORES, "core-4", "core-5"]
+            lost = cluster.random.sample(names, 2)
+            for name in lost:
+                cluster.kill(name)
+            rest = next(name for name in names if name not in lost)
+            self.assertEqual("in-force", cluster.change(rest, "o1", {"a": "1"}).status)
