Simulator: the emulated fleet and the emulator are modules of their own

Change: placement_fleet.py holds the servers, stores, requests and orders; placement_emulator.py runs policies.

--- a/src/zincvale/simulator/placement_emulator.py
+++ b/src/zincvale/simulator/placement_emulator.py
@@ -1,14 +1,12 @@
-"""Servers, stores and requests in virtual time, to measure placement policies.
+"""Runs placement policies against an emulated fleet in virtual time, to measure them.
 
 Pure: time advances in fixed steps, randomness is seeded. A policy sees the fleet, gives orders to
 load and unload, and is judged by how many requests had to wait for a load. Transfers share a
-store's bandwidth and a server's network. Everything that happens is journalled, and
-`placement_check` holds the journal against the limits.
+store's bandwidth and a server's network.
 """
 
 from __future__ import annotations
 
-import enum
 import heapq
 import itertools
 from collections import deque
@@ -18,165 +16,21 @@
 import attrs
 import numpy
 
+from zincvale.simulator.placement_fleet import (
+    Arrival,
+    Copy,
+    EmulatedServer,
+    Fleet,
+    FleetEvent,
+    FleetEventKind,
+    JournalRow,
+    Request,
+)
+
 STEP_S = 0.1
 REQUEST_PATIENCE_S = 30.0
 
 
-class OrderResult(enum.Enum):
-    """What a server says to an order."""
-
-    ACCEPTED = "accepted"
-    MEMORY = "memory"
-    BUSY = "busy"
-    BASE_MODEL = "base-model"
-    NOT_HELD = "not-held"
-    DOWN = "down"
-
-
-@attrs.frozen
-class ItemSpec:
-    """A model (`base` is empty) or an adapter."""
-
-    name: str
-    item_bytes: int
-    store: str
-    pool: str
-    base: str = ""
-    min_replicas: int = 0
-
-
-@attrs.frozen
-class StoreSpecification:
-    """A weight store."""
-
-    name: str
-    bytes_per_second: int
-    max_concurrent_loads: int
-
-
-@attrs.frozen
-class ServerSpecification:
-    """A language-model server; `kv_bytes` of its memory are not for weights."""
-
-    name: str
-    pool: str
-    zone: str
-    memory_bytes: int
-    kv_bytes: int
-    pull_bytes_per_second: int
-    max_running: int
-    max_loads: int = 2
-
-
-@attrs.define(eq=False)
-class Copy:
-    """An item on a server; it serves when `left_bytes` is 0."""
-
-    item_bytes: int
-    left_bytes: float
-    used_at: float = 0.0
-
-    @property
-    def ready(self) -> bool:
-        """Whether it is loaded."""
-        return self.left_bytes <= 0.0
-
-
-@attrs.define(eq=False)
-class EmulatedServer:
-    """One server's present state."""
-
-    spec: ServerSpecification
-    up: bool = True
-    drained: bool = False
-    incarnation: int = 1
-    up_since: float = 0.0
-    copies: dict[str, Copy] = attrs.field(factory=dict)
-    closing: frozenset[str] = frozenset()
-    running: int = 0
-    running_by_pair: dict[tuple[str, str], int] = attrs.field(factory=dict)
-    """Running requests by model and adapter."""
-
-    @property
-    def serving(self) -> bool:
-        """Whether requests may be sent here."""
-        return self.up and not self.drained
-
-    @property
-    def used_bytes(self) -> int:
-        """Memory of weights, loading ones included."""
-        return sum(copy.item_bytes for copy in self.copies.values())
-
-    @property
-    def weight_bytes(self) -> int:
-        """Memory that weights may take."""
-        return self.spec.memory_bytes - self.spec.kv_bytes
-
-    def running_on(self, name: str) -> int:
-        """Return the requests that run on a model or adapter here."""
-        return sum(count for pair, count in self.running_by_pair.items() if name in pair)
-
-    def loading(self) -> list[str]:
-        """Return the names being loaded."""
-        return [name for name, copy in self.copies.items() if not copy.ready]
-
-
-@attrs.frozen
-class Arrival:
-    """A request that arrives."""
-
-    at: float
-    model: str
-    adapter: str
-    service_s: float
-
-
-@attrs.define(eq=False)
-class Request:
-    """A request in the emulator.
-
-    Attributes
-    ----------
-    missed : no server had model and adapter ready when it arrived, or while it was held.
-    """
-
-    arrival: Arrival
-    measured: bool = True
-    missed: bool = False
-    server: str = ""
-    incarnation: int = 0
-
-
-class FleetEventKind(enum.Enum):
-    """What happens to a server."""
-
-    CRASH = "crash"
-    RETURN_COLD = "return-cold"
-    DRAIN = "drain"
-    UNDRAIN = "undrain"
-
-
-@attrs.frozen
-class FleetEvent:
-    """A timed event of the scenario."""
-
-    at: float
-    kind: FleetEventKind
-    server: str
-
-
-@attrs.frozen
-class JournalRow:
-    """One thing that happened."""
-
-    at: float
-    event: str
-    server: str
-    name: str
-    item_bytes: int = 0
-    store: str = ""
-
-
 @attrs.frozen
 class Outcome:
     """What one run showed.
@@ -217,91 +71,6 @@
         ...
 
 
-@attrs.define(eq=False)
-class Fleet:
-    """The emulated fleet: what policies see and order."""
-
-    items: dict[str, ItemSpec]
-    stores: dict[str, StoreSpecification]
-    servers: dict[str, EmulatedServer]
-    waiting: dict[tuple[str, str], deque[Request]] = attrs.field(factory=dict)
-    arrived: dict[tuple[str, str], int] = attrs.field(factory=dict)
-    """Arrivals since a policy last cleared this."""
-    journal: list[JournalRow] = attrs.field(factory=list)
-    now: float = 0.0
-
-    def pulls(self, store: str) -> int:
-        """Return transfers running from a store."""
-        count = 0
-        for server in self.servers.values():
-            for name in server.loading():
-                count += self.items[name].store == store
-        return count
-
-    def ready_servers(self, model: str, adapter: str) -> list[EmulatedServer]:
-        """Return the servers that can serve model and adapter together."""
-        return [
-            server
-            for server in self.servers.values()
-            if server.serving
-            and _is_ready(server, model)
-            and (not adapter or _is_ready(server, adapter))
-        ]
-
-    def holders(self, name: str) -> list[EmulatedServer]:
-        """Return the servers in service that hold or load an item."""
-        return [
-            server for server in self.servers.values() if server.serving and name in server.copies
-        ]
-
-    def order_load(self, server_name: str, name: str) -> OrderResult:
-        """Start a load, if the server takes it."""
-        server = self.servers[server_name]
-        item = self.items[name]
-        if not server.up:
-            return OrderResult.DOWN
-        self._write("order-load", server_name, name)
-        if name in server.copies:
-            return OrderResult.ACCEPTED
-        if item.base and not _loaded(server, item.base):
-            return OrderResult.BASE_MODEL
-        if server.used_bytes + item.item_bytes > server.weight_bytes:
-            return OrderResult.MEMORY
-        if len(server.loading()) >= server.spec.max_loads:
-            return OrderResult.BUSY
-        server.copies[name] = Copy(item.item_bytes, float(item.item_bytes), self.now)
-        self._write("load-start", server_name, name)
-        return OrderResult.ACCEPTED
-
-    def order_unload(self, server_name: str, name: str) -> OrderResult:
-        """Drop a copy at once."""
-        server = self.servers[server_name]
-        if not server.up:
-            return OrderResult.DOWN
-        if name not in server.copies:
-            return OrderResult.NOT_HELD
-        if server.running_on(name):
-            self._write("unload-in-use", server_name, name)
-        del server.copies[name]
-        self._write("unloaded", server_name, name)
-        return OrderResult.ACCEPTED
-
-    def _write(self, event: str, server: str, name: str) -> None:
-        item = self.items.get(name)
-        item_bytes = item.item_bytes if item else 0
-        store = item.store if item else ""
-        self.journal.append(JournalRow(self.now, event, server, name, item_bytes, store))
-
-
-def _loaded(server: EmulatedServer, name: str) -> bool:
-    copy = server.copies.get(name)
-    return copy is not None and copy.ready
-
-
-def _is_ready(server: EmulatedServer, name: str) -> bool:
-    return _loaded(server, name) and name not in server.closing
-
-
 class Emulator:
     """Runs one policy through one scenario.
 
--- a/src/zincvale/simulator/placement_quality.py
+++ b/src/zincvale/simulator/placement_quality.py
@@ -16,7 +16,8 @@
 from zincvale.controlplane.placement.config import PlacementConfig
 from zincvale.simulator.placement_baselines import Greedy, LeastRecentlyUsed, Static
 from zincvale.simulator.placement_check import check_asked_rate, check_journal
-from zincvale.simulator.placement_emulator import Emulator, Fleet, Outcome, Policy
+from zincvale.simulator.placement_emulator import Emulator, Outcome, Policy
+from zincvale.simulator.placement_fleet import Fleet
 from zincvale.simulator.placement_policy import ControllerPolicy
 from zincvale.simulator.placement_scenarios import (
     LOADS,
--- a/src/zincvale/simulator/placement_scenarios.py
+++ b/src/zincvale/simulator/placement_scenarios.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from zincvale.simulator.placement_emulator import (
+from zincvale.simulator.placement_fleet import (
     Arrival,
     EmulatedServer,
     Fleet,
--- a/tests/controlplane/placement/test_quality.py
+++ b/tests/controlplane/placement/test_quality.py
@@ -6,10 +6,10 @@
 import testtools
 
 from zincvale.simulator.placement_check import check_journal
-from zincvale.simulator.placement_emulator import (
+from zincvale.simulator.placement_emulator import Emulator
+from zincvale.simulator.placement_fleet import (
     Arrival,
     EmulatedServer,
-    Emulator,
     Fleet,
     ItemSpec,
     JournalRow,
