--- a/tests/platform/test_roles.py
+++ b/tests/platform/test_roles.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from pathlib import Path
 from unittest import mock
 
+import attrs
 import testtools
 
 from tests.platform.test_settings import TEXT
@@ -35,6 +37,41 @@
         self.assertEqual("_run_node", self.started(TEXT.replace(DATA_LINE, ""), "node"))
 
 
+@attrs.frozen
+class Layout:
+    """A site: machines of each class by zone, and how many of a zone's first ones have a disk.
+
+    Attributes
+    ----------
+    borne : losses of disks that must be borne at once.
+    """
+
+    name: str
+    machines: dict[str, list[int]]
+    disks: dict[str, list[int]]
+    borne: int
+
+
+LAYOUTS = (
+    Layout("three small zones", {"frontend": [4, 4, 3]}, {"frontend": [1, 1, 1]}, 1),
+    Layout("six of eighty", {"frontend": [28, 28, 27]}, {"frontend": [2, 2, 2]}, 2),
+    Layout("eight of eighty", {"frontend": [21, 20, 20, 20]}, {"frontend": [2, 2, 2, 2]}, 2),
+    Layout(
+        "a class of their own",
+        {"frontend": [21, 21, 24], "core": [2, 2, 1]},
+        {"core": [2, 2, 1]},
+        2,
+    ),
+    Layout(
+        "six zones of 200",
+        {"frontend": [34, 34, 33, 33, 33, 33]},
+        {"frontend": [1] * 6},
+        2,
+    ),
+    Layout("five zones of 200", {"frontend": [40] * 5}, {"frontend": [1] * 5}, 2),
+)
+
+
 class DeployFileTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -51,3 +88,28 @@
         share = self.roles["frontend-core"]["share"]
         self.assertGreater(share * 20, 1.0)
         self.assertLess(share * 11, 1.0)
+
+    def control_processes(self, layout: Layout) -> tuple[int, int]:
+        """Return how many control processes with and without a disk a site gets."""
+        with_disk = without_disk = 0
+        for role in self.roles.values():
+            if "control_plane" not in role["serves"]:
+                continue
+            counts = layout.machines.get(role["on"], [])
+            disks = layout.disks.get(role["on"], [0] * len(counts))
+            for machines, disks_here in zip(counts, disks, strict=True):
+                taken = math.ceil(machines * role["share"])
+                with_disk += min(taken, disks_here)
+                without_disk += max(0, taken - disks_here)
+        return with_disk, without_disk
+
+    def test_every_disk_of_every_layout_gets_a_core(self) -> None:
+        for layout in LAYOUTS:
+            with_disk, _ = self.control_processes(layout)
+            self.assertEqual(sum(map(sum, layout.disks.values())), with_disk, layout.name)
+            self.assertGreaterEqual(with_disk, 2 * layout.borne + 1, layout.name)
+
+    def test_few_processes_stand_by(self) -> None:
+        for layout in LAYOUTS:
+            _, without_disk = self.control_processes(layout)
+            self.assertLessEqual(without_disk, 0.05 * sum(map(sum, layout.machines.values())) + 3)
