Model of forwarding: nothing goes on for a caller that left

Change: the model's servers note when a node gave a run up and when they had answered. New check 'nothing-goes-on-for-nobody', and a mutation that ends a request without closing its exchange.

--- a/src/zincvale/simulator/forwarding_checks.py
+++ b/src/zincvale/simulator/forwarding_checks.py
@@ -84,6 +84,20 @@
             yield f"{caller.request_id} ended {caller.ended_at - caller.limit_at:.2f} s late"
 
 
+def nothing_goes_on_for_nobody(journal: ForwardingJournal) -> Iterator[str]:
+    """Once a caller left, nothing is sent for it, and what runs for it is given up at once."""
+    runs = runs_of(journal)
+    for caller in journal.callers.values():
+        if caller.ending is not Ending.LEFT:
+            continue
+        for run in runs.get(caller.request_id, []):
+            ends = [at for at in (run.given_up_at, run.answered_at) if at is not None]
+            if run.at > caller.ended_at + LATE_S:
+                yield f"{caller.request_id} began to run after its caller left"
+            elif not ends or min(ends) > caller.ended_at + LATE_S:
+                yield f"{caller.request_id} ran on at {run.incarnation} after its caller left"
+
+
 def known_drains_hold(journal: ForwardingJournal) -> Iterator[str]:
     """A node sends nothing to a server that it knows to drain, or whose zone it knows closed."""
     for arrival in journal.arrivals:
@@ -142,6 +156,7 @@
     "streams-are-unbroken": streams_are_unbroken,
     "attempts-are-bounded": attempts_are_bounded,
     "ends-in-time": ends_in_time,
+    "nothing-goes-on-for-nobody": nothing_goes_on_for_nobody,
     "known-drains-hold": known_drains_hold,
 }
 
--- a/src/zincvale/simulator/forwarding_journal.py
+++ b/src/zincvale/simulator/forwarding_journal.py
@@ -50,15 +50,23 @@
     misdirected: bool
 
 
-@attrs.frozen
+@attrs.define
 class Run:
-    """A server began to work on a request; `body` is what its whole answer holds."""
+    """A server began to work on a request; `body` is what its whole answer holds.
+
+    Attributes
+    ----------
+    given_up_at : when its node closed the exchange, which ends the work.
+    answered_at : when the server had answered, or broke off.
+    """
 
     request_id: str
     incarnation: str
     at: float
     resumed_after: int
     body: bytes
+    given_up_at: float | None = None
+    answered_at: float | None = None
 
 
 @attrs.define
--- a/src/zincvale/simulator/forwarding_servers.py
+++ b/src/zincvale/simulator/forwarding_servers.py
@@ -62,10 +62,14 @@
     """The node's hold on one exchange."""
 
     is_cancelled: bool = False
+    run: Run | None = None
+    """What the server does of it, once it began."""
 
     def cancel(self) -> None:
         """Give it up: nothing more is told."""
         self.is_cancelled = True
+        if self.run is not None and self.run.answered_at is None:
+            self.run.given_up_at = asyncio.get_running_loop().time()
 
     def pause(self) -> None:
         """Model callers read as fast as they are written to."""
@@ -178,6 +182,7 @@
         body = self._body()
         run = Run(self._request_id, self._server.incarnation, now, self._resumed_after, body)
         self._client.journal.runs.append(run)
+        self._exchange.run = run
         work_s = self._client.random.uniform(*WORK_S)
         self._loop.call_later(work_s, self._answer, self._pieces(body))
 
@@ -199,6 +204,7 @@
         if self._exchange.is_cancelled or conduct is Conduct.SILENT:
             return
         if self._server.incarnation != self._incarnation or conduct in (Conduct.DOWN, Conduct.DARK):
+            self._note_answered()
             self._listener.broken("reset")
         elif conduct is Conduct.GREY:
             self._head(500)
@@ -220,7 +226,13 @@
         self._listener.content(pieces[0])
         self._loop.call_later(EVENT_GAP_S if self._is_stream else 0.0, self._write, pieces[1:])
 
+    def _note_answered(self) -> None:
+        run = self._exchange.run
+        if run is not None and run.answered_at is None:
+            run.answered_at = self._loop.time()
+
     def _break_off(self, pieces: list[bytes]) -> None:
+        self._note_answered()
         if pieces:
             self._listener.content(pieces[0][: self._client.random.randrange(len(pieces[0]))])
         if not self._exchange.is_cancelled:
@@ -232,5 +244,6 @@
         self._listener.head(AnswerHead(status, "", named))
 
     def _end(self) -> None:
+        self._note_answered()
         if not self._exchange.is_cancelled:
             self._listener.ended()
--- a/tests/simulator/test_forwarding_model.py
+++ b/tests/simulator/test_forwarding_model.py
@@ -10,8 +10,8 @@
 
 from zincvale.dataplane.forwarding.budgets import ColdAllowance, RetryBudget
 from zincvale.dataplane.forwarding.forwarded_request import ForwardedRequest
-from zincvale.dataplane.forwarding.request_events import ContentReceived
-from zincvale.dataplane.forwarding.request_machine import RequestMachine
+from zincvale.dataplane.forwarding.request_events import ContentReceived, Finish, Release
+from zincvale.dataplane.forwarding.request_machine import Phase, RequestMachine
 from zincvale.dataplane.forwarding.world import ForwardingWorld
 from zincvale.simulator.forwarding_model import run_forwarding
 
@@ -76,6 +76,14 @@
     return mock.patch.object(RequestMachine, "_time_over", lambda self: [])
 
 
+def _lets_runs_go_on_for_nobody():
+    def end(self, kind, reason):
+        self.phase = Phase.DONE
+        return [Release(), Finish(kind, reason)]
+
+    return mock.patch.object(RequestMachine, "_end", end)
+
+
 @contextlib.contextmanager
 def _tries_without_end():
     """The budget of second sends alone would hide it."""
@@ -94,6 +102,10 @@
     "cold-servers-by-each-node-alone": (_cold_servers_by_each_node_alone, "cold-within"),
     "sends-to-draining-servers": (_sends_to_draining_servers, "known-drains-hold"),
     "forgets-the-time": (_forgets_the_time, "ends-in-time"),
+    "lets-runs-go-on-for-nobody": (
+        _lets_runs_go_on_for_nobody,
+        "nothing-goes-on-for-nobody",
+    ),
     "tries-without-end": (_tries_without_end, "attempts-are-bounded"),
 }
 
