Servers: connections read by httptools on the event loop's own protocol

Ruled out: libcurl, which shows neither late answers nor bytes after an answer. Change: AnswerReader collects what the library's parser tells; ServerConnection is a BufferedProtocol that reads into one buffer shared by all; a request on a resting connection leaves at once, without a task. What is no answer, what follows an answer and what answers another request are treated as before. A test was wrong: it paused the connection and expected the bytes of a read begun earlier. It now pauses after the first part and expects nothing more, which is stricter. Tests: interim answers, HEAD, chunks cut anywhere, two lengths, line breaks in a head.

--- a/src/zincvale/transport/server_client.py
+++ b/src/zincvale/transport/server_client.py
@@ -11,8 +11,6 @@
 from collections.abc import Callable, Mapping
 
 import attrs
-from tornado.ioloop import IOLoop
-from tornado.iostream import IOStream, StreamClosedError
 
 from zincvale.model.addresses import split_address
 from zincvale.transport.server_connection import ServerConnection, set_options
@@ -93,6 +91,7 @@
         self._address_map = address_map or {}
         self._targets: dict[tuple[str, str], _Target] = {}
         self._open: set[ServerConnection] = set()
+        self._connecting: set[asyncio.Task[None]] = set()
         self.counts = ClientCounts()
 
     def start(
@@ -100,7 +99,13 @@
     ) -> Exchange:
         """Begin an exchange; the listener is called later, never from here."""
         exchange = Exchange()
-        IOLoop.current().add_callback(self._run, address, incarnation, request, listener, exchange)
+        target = self._targets.setdefault((address, incarnation), _Target())
+        if not self._send_on_resting(target, request, listener, exchange):
+            connecting = asyncio.ensure_future(
+                self._send_on_new(address, target, request, listener, exchange)
+            )
+            self._connecting.add(connecting)
+            connecting.add_done_callback(self._connecting.discard)
         return exchange
 
     def keep_only(self, targets: set[tuple[str, str]]) -> None:
@@ -114,22 +119,19 @@
         for connection in list(self._open):
             connection.close()
 
-    async def _run(
+    async def _send_on_new(
         self,
         address: str,
-        incarnation: str,
+        target: _Target,
         request: OutgoingRequest,
         listener: AnswerListener,
         exchange: Exchange,
     ) -> None:
         if exchange.is_cancelled:
             return
-        target = self._targets.setdefault((address, incarnation), _Target())
-        if self._send_on_resting(target, request, listener, exchange):
-            return
         try:
             connection = await self._connect(address, target)
-        except (TimeoutError, OSError, StreamClosedError) as error:
+        except (TimeoutError, OSError) as error:
             if not exchange.is_cancelled:
                 listener.not_sent(f"{address}: {error or type(error).__name__}")
             return
@@ -175,22 +177,24 @@
 
     async def _connect(self, address: str, target: _Target) -> ServerConnection:
         host, port = split_address(self._address_map.get(address, address))
-        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
-        set_options(stream.socket)
+        loop = asyncio.get_running_loop()
+        connected = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connected.setblocking(False)
+        set_options(connected)
         try:
-            await asyncio.wait_for(stream.connect((host, port)), CONNECT_TIMEOUT_S)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await loop.sock_connect(connected, (host, port))
         except BaseException:
-            stream.close()
+            connected.close()
             raise
         self.counts.opened += 1
         connection = ServerConnection(
-            stream,
             self._clock,
             lambda each: self._rest(target, each),
             lambda each: self._closed(target, each),
         )
         self._open.add(connection)
-        connection.begin_reading()
+        await loop.create_connection(lambda: connection, sock=connected)
         return connection
 
     def _rest(self, target: _Target, connection: ServerConnection) -> None:
--- a/src/zincvale/transport/server_connection.py
+++ b/src/zincvale/transport/server_connection.py
@@ -1,4 +1,4 @@
-"""One HTTP/1.1 connection to a server: framing by h11, bytes by tornado's stream.
+"""One HTTP/1.1 connection to a server.
 
 The connection is read all the time, so that a server that closes it or sends what nobody asked for
 is noticed while the connection rests. A connection on which anything unexpected arrived is closed.
@@ -6,29 +6,32 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import re
 import socket
 from collections.abc import Callable
+from typing import cast
 
-import h11
-from tornado.ioloop import IOLoop
-from tornado.iostream import IOStream, StreamClosedError
-
+from zincvale.transport.answer_reader import AnswerEnd, AnswerReader, Unreadable
 from zincvale.transport.server_exchange import AnswerHead, AnswerListener, OutgoingRequest
 
 READ_BYTES = 65_536
 ANSWER_START = b"HTTP/"
-MAX_HEAD_BYTES = 65_536
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
+LINE_BREAKS = re.compile(r"[\r\n\0]")
+BODILESS_METHOD = "HEAD"
 PROBE_IDLE_S = 2
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
 UNACKNOWLEDGED_LIMIT_MS = 1_500
 """Bytes that a peer does not acknowledge for so long end the connection."""
 
+_received = memoryview(bytearray(READ_BYTES))
+"""Shared by all connections: what is read into it is parsed before anything else is read."""
+
 
-class ServerConnection:
+class ServerConnection(asyncio.BufferedProtocol):
     """A connected stream; carries one exchange at a time.
 
     Parameters
@@ -39,24 +42,21 @@
 
     def __init__(
         self,
-        stream: IOStream,
         clock: Callable[[], float],
         on_rest: Callable[[ServerConnection], None],
         on_closed: Callable[[ServerConnection], None],
     ) -> None:
-        self._stream = stream
         self._clock = clock
         self._on_rest = on_rest
         self._on_closed = on_closed
-        self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._transport: asyncio.Transport | None = None
+        self._reader = AnswerReader()
         self._request: OutgoingRequest | None = None
         self._listener: AnswerListener | None = None
         self._is_ours = False
         self._awaits_answer = False
         """Nothing was received since the request was sent."""
         self._is_closed = False
-        self._paused = False
-        self._resume: Callable[[], None] | None = None
         self.used = False
         self.rests_since = clock()
         self.keep_alive_s: float | None = None
@@ -65,41 +65,34 @@
     @property
     def is_open(self) -> bool:
         """Whether a request can be sent."""
-        return not self._is_closed and not self._stream.closed()
-
-    def begin_reading(self) -> None:
-        """Start the loop that reads for as long as the connection lives."""
-        IOLoop.current().add_callback(self._read_forever)
+        return not self._is_closed and self._transport is not None
 
     def send(self, request: OutgoingRequest, listener: AnswerListener) -> bool:
-        """Send a request; False when the connection is known to be gone and nothing left."""
-        if not self.is_open:
+        """Send a request; False when nothing left: the connection is gone, or the head is not one.
+
+        The listener is called later, never from here.
+        """
+        content = _encode(request)
+        if content is None or self._transport is None or self._is_closed:
             return False
         self._request = request
         self._listener = listener
         self._is_ours = False
         self._awaits_answer = True
-        content = self._encode(request)
-        try:
-            written = self._stream.write(content)
-        except StreamClosedError:
-            self._request = self._listener = None
-            self.close()
-            return False
-        written.add_done_callback(lambda future: future.exception())
+        self._reader.expect(has_body=request.method != BODILESS_METHOD)
+        self._transport.write(content)
         self.used = True
         return True
 
     def pause(self) -> None:
         """Read nothing more until `resume`: the caller is slow."""
-        self._paused = True
+        if self._transport is not None and not self._is_closed:
+            self._transport.pause_reading()
 
     def resume(self) -> None:
         """Read on."""
-        self._paused = False
-        if self._resume is not None:
-            resume, self._resume = self._resume, None
-            resume()
+        if self._transport is not None and not self._is_closed:
+            self._transport.resume_reading()
 
     def close(self) -> None:
         """Close the connection; its listener is told nothing."""
@@ -108,91 +101,75 @@
         if self._is_closed:
             return
         self._is_closed = True
-        self._stream.close()
-        self.resume()
+        self._reader.close()
+        if self._transport is not None:
+            # What was not sent yet must not follow the caller's leaving.
+            self._transport.abort()
         self._on_closed(self)
 
-    # --- sending --------------------------------------------------------------------------
-
-    def _encode(self, request: OutgoingRequest) -> bytes:
-        headers = list(request.headers)
-        if request.body is not None:
-            headers.append(("Content-Length", str(len(request.body))))
-        head = h11.Request(method=request.method, target=request.target, headers=headers)
-        parts = [self._parser.send(head)]
-        if request.body:
-            parts.append(self._parser.send(h11.Data(data=request.body)))
-        parts.append(self._parser.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
+    # --- called by the event loop ---------------------------------------------------------
 
-    # --- reading --------------------------------------------------------------------------
-
-    async def _read_forever(self) -> None:
-        while not self._is_closed:
-            try:
-                data = await self._stream.read_bytes(READ_BYTES, partial=True)
-            except StreamClosedError:
-                self._handle_end_of_stream()
-                return
-            self._handle_data(data)
-            if self._paused and not self._is_closed:
-                await self._until_resumed()
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is up."""
+        self._transport = cast(asyncio.Transport, transport)
+        if self._is_closed:
+            self._transport.abort()
 
-    async def _until_resumed(self) -> None:
-        future = IOLoop.current().asyncio_loop.create_future()  # type: ignore[attr-defined]
-        self._resume = lambda: None if future.done() else future.set_result(None)
-        await future
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to read into."""
+        return _received
 
-    def _handle_data(self, data: bytes) -> None:
+    def buffer_updated(self, nbytes: int) -> None:
+        """Bytes were read."""
+        if self._is_closed:
+            return
         if self._request is None:
             # Bytes that no request asked for belong to nobody.
             self.close()
             return
-        self._feed(data)
+        self._take(_received[:nbytes])
 
-    def _handle_end_of_stream(self) -> None:
+    def eof_received(self) -> bool:
+        """The server will send nothing more."""
+        self._end_of_stream("the server closed the connection", is_clean=True)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is gone."""
+        reason = "the server closed the connection" if exc is None else repr(exc)
+        self._end_of_stream(reason, is_clean=False)
+
+    # --- reading --------------------------------------------------------------------------
+
+    def _end_of_stream(self, reason: str, is_clean: bool) -> None:
         if self._is_closed:
             return
-        error = self._stream.error
-        if self._request is not None and error is None:
-            self._feed(b"")
-        self._break("the server closed the connection" if error is None else repr(error))
+        reader = self._reader
+        if is_clean and reader.is_within and reader.ends_with_connection:
+            self._take_end(AnswerEnd.LAST, is_last_event=True)
+        self._break(reason)
 
-    def _feed(self, data: bytes) -> None:
-        if self._awaits_answer and data and not _may_begin_answer(data):
+    def _take(self, data: memoryview) -> None:
+        if self._awaits_answer and not _may_begin_answer(bytes(data[: len(ANSWER_START)])):
             self._break("not an answer: it begins with other bytes")
             return
         self._awaits_answer = False
-        try:
-            self._parser.receive_data(data)
-            self._take_events()
-        except h11.ProtocolError as error:
-            self._break(f"not an answer: {error}")
-
-    def _take_events(self) -> None:
-        while self._request is not None and not self._is_closed:
-            event = self._parser.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
+        events = self._reader.feed(data)
+        last = len(events) - 1
+        for place, event in enumerate(events):
+            if self._request is None or self._is_closed:
                 return
-            if isinstance(event, h11.Response):
-                self._take_head(event)
-            elif isinstance(event, h11.Data):
+            if isinstance(event, bytes):
                 if self._is_ours and self._listener is not None:
-                    self._listener.content(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._take_end()
-            elif isinstance(event, h11.ConnectionClosed):
-                self._break("the server closed the connection")
-
-    def _take_head(self, response: h11.Response) -> None:
-        head = AnswerHead(
-            response.status_code,
-            response.reason.decode("latin-1"),
-            [
-                (name.decode("latin-1"), value.decode("latin-1"))
-                for name, value in response.headers.raw_items()
-            ],
-        )
+                    self._listener.content(event)
+            elif isinstance(event, AnswerHead):
+                self._take_head(event)
+            elif isinstance(event, AnswerEnd):
+                self._take_end(event, is_last_event=place == last)
+            elif isinstance(event, Unreadable):
+                self._break(event.problem)
+
+    def _take_head(self, head: AnswerHead) -> None:
         lowered = head.lowered()
         assert self._request is not None
         self._is_ours = self._request.belongs(head.status, lowered)
@@ -202,41 +179,32 @@
         if self._is_ours and self._listener is not None:
             self._listener.head(head)
 
-    def _take_end(self) -> None:
+    def _take_end(self, end: AnswerEnd, is_last_event: bool) -> None:
         if not self._is_ours:
-            self._read_next_answer()
+            # An answer to another request came in the place of ours: ours may follow.
+            if end is not AnswerEnd.REUSABLE:
+                self._break("an answer of another request")
             return
         listener = self._listener
         self._listener = None
         self._request = None
-        self._finish_cycle()
+        self._finish_exchange(end, is_last_event)
         if listener is not None:
             listener.ended()
 
-    def _read_next_answer(self) -> None:
-        """An answer to another request came in the place of ours: ours may follow."""
-        trailing, _ = self._parser.trailing_data
-        if self._parser.their_state is not h11.DONE or self._request is None:
-            self._break("an answer of another request")
-            return
-        self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self._encode(self._request)
-        self._parser.receive_data(trailing)
-
-    def _finish_cycle(self) -> None:
+    def _finish_exchange(self, end: AnswerEnd, is_last_event: bool) -> None:
         """Rest, unless the stream ended, more than the answer came, or the request still leaves."""
-        trailing, _ = self._parser.trailing_data
         is_clean = (
-            self._parser.our_state is h11.DONE
-            and self._parser.their_state is h11.DONE
-            and not trailing
-            and not self._stream.writing()
-            and not self._stream.closed()
+            end is AnswerEnd.REUSABLE
+            and is_last_event
+            and not self._reader.is_within
+            and self._transport is not None
+            and not self._transport.get_write_buffer_size()
+            and not self._transport.is_closing()
         )
         if not is_clean or self._is_closed:
             self.close()
             return
-        self._parser.start_next_cycle()
         self.rests_since = self._clock()
         self._on_rest(self)
 
@@ -247,8 +215,21 @@
             listener.broken(reason)
 
 
-def _may_begin_answer(data: bytes) -> bool:
-    return data.startswith(ANSWER_START) or ANSWER_START.startswith(data)
+def _may_begin_answer(start: bytes) -> bool:
+    return ANSWER_START.startswith(start)
+
+
+def _encode(request: OutgoingRequest) -> bytes | None:
+    """Return the request as it travels; None when a part of its head would end a line."""
+    headers = list(request.headers)
+    if request.body is not None:
+        headers.append(("Content-Length", str(len(request.body))))
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    if LINE_BREAKS.search("".join(lines)):
+        return None
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1", "replace") + (request.body or b"")
 
 
 def set_options(connected: socket.socket) -> None:
