Residency tells what closes: nodes no longer follow the calendar of moves

Cause: each planned, ordered and finished move was delivered to every node, and each new unload made every node report its demand at once, although servers guard their own unloads in forwarding deployments and nothing waits for those reports (closing_wait_s is 0). Change: the row of a server leaves out what is about to be unloaded, and is published when the closing mark changes; nodes follow two topics instead of three. Operators read the calendar at the cores as before. Tests: the row as soon as an unload is planned and when it is given up; what nodes follow.

--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -11,7 +11,6 @@
 
 from zincvale.controlplane.directory_rows import LISTED_TOPIC, DirectoryDecoder
 from zincvale.controlplane.document_rows import DocumentDecoder
-from zincvale.controlplane.placement.closing_rows import MOVES_TOPIC, ClosingDecoder
 from zincvale.coordination.config import Timings
 from zincvale.coordination.node_machine import NodeMachine
 from zincvale.coordination.replica_sets import INTENT_KEY
@@ -46,7 +45,8 @@
 LAST_ANSWERS_S = 0.4
 """So long before its end a stopping node refuses what still waits for a server."""
 MAX_CALLER_BODY_BYTES = 64 * 1024 * 1024
-TOPICS = (LISTED_TOPIC, MOVES_TOPIC, RESIDENCY_TOPIC)
+TOPICS = (LISTED_TOPIC, RESIDENCY_TOPIC)
+"""The calendar of moves is not among them: what is about to be unloaded leaves the residency."""
 
 
 class ForwardingNode:
@@ -69,7 +69,6 @@
         self._documents = DocumentDecoder()
         self._directory = DirectoryDecoder()
         self._residencies = ResidencyDecoder()
-        self._closing = ClosingDecoder()
         self._demand_due_at = 0.0
         self._demand_urgent = False
         self._was_ready = False
@@ -181,8 +180,6 @@
             if RESIDENCY_TOPIC in changes.topics:
                 told = self.machine.topic(RESIDENCY_TOPIC)
                 self._service.apply_residencies(self._residencies.update(told.rows))
-            if MOVES_TOPIC in changes.topics:
-                self._apply_moves()
         except ZincvaleError as error:
             log(log_events.INTENT_UNREADABLE, problem=str(error))
         if changes.members:
@@ -190,12 +187,6 @@
             self._tracing.apply_members(members)
             self._service.apply_members(members)
 
-    def _apply_moves(self) -> None:
-        closing = self._closing.update(self.machine.topic(MOVES_TOPIC).rows)
-        if self._service.apply_closing(closing):
-            # The leader waits for reports made after the mark.
-            self._report_soon()
-
     # --- time -----------------------------------------------------------------------------
 
     def _tick(self) -> None:
--- a/src/zincvale/daemons/placement_runner.py
+++ b/src/zincvale/daemons/placement_runner.py
@@ -76,7 +76,7 @@
     orders : how servers take orders.
     holder : the name under which this process gives orders.
     expected_load_s : how long a load of a model should take.
-    on_touched : called with each server whose holdings may have changed.
+    on_touched : called with each server whose holdings, or their closing marks, may have changed.
     on_reached : called with a server and whether it could be reached just now.
     """
 
@@ -120,7 +120,7 @@
             case PublishMoves():
                 self._publications.put_nowait(self._publication(effect))
             case MarkClosing():
-                return
+                self._on_touched(effect.server)
             case OrderRecorded():
                 self._spans.order_sent(effect)
             case CompletionRecorded():
--- a/src/zincvale/daemons/residency_publication.py
+++ b/src/zincvale/daemons/residency_publication.py
@@ -60,11 +60,14 @@
 
 
 def encode_residency(server: ServerState) -> bytes:
-    """Return the row of a server in placement's table."""
+    """Return the row of a server in placement's table: what requests may be sent for.
+
+    What is about to be unloaded is left out as soon as that is planned.
+    """
     held: dict[str, list[str]] = {ItemKind.MODEL.value: [], ItemKind.ADAPTER.value: []}
     for key, holding in server.holdings.items():
         kind, _, name = key.partition("/")
-        if holding.state is HoldingState.LOADED:
+        if holding.state is HoldingState.LOADED and not holding.closing:
             held[kind].append(name)
     return orjson.dumps(
         {
--- a/src/zincvale/dataplane/forwarding/servers.py
+++ b/src/zincvale/dataplane/forwarding/servers.py
@@ -55,8 +55,8 @@
 
     Attributes
     ----------
-    residency : what it holds, by the newest word of the placement leader or of the list.
-    closing : names about to be unloaded there.
+    residency : what it holds and will not unload next, by the newest word of the placement leader
+        or of the list.
     outstanding : requests of this node that are there now.
     outstanding_tokens : tokens of these that had to be read when they were sent.
     cold_until : until when it bears only a few requests.
@@ -66,7 +66,6 @@
 
     row: ServerRow
     residency: Residency
-    closing: frozenset[str] = frozenset()
     outstanding: int = 0
     outstanding_tokens: int = 0
     cold_until: float = -math.inf
@@ -86,10 +85,7 @@
         """Whether the prompt can run here, as far as known."""
         if not self.residency.holds(prompt):
             return False
-        for name in wanted_names(prompt):
-            if name in self.closing or now < self._absent_until.get(name, -math.inf):
-                return False
-        return True
+        return all(now >= self._absent_until.get(name, -math.inf) for name in wanted_names(prompt))
 
     def note_absent(self, prompt: Prompt, now: float) -> None:
         """Remember the server's own word that it lacks what the prompt asks for."""
--- a/src/zincvale/dataplane/forwarding/service.py
+++ b/src/zincvale/dataplane/forwarding/service.py
@@ -177,10 +177,6 @@
         self.world.apply_residencies(residencies)
         self.context.pump()
 
-    def apply_closing(self, closing: Mapping[ServerId, frozenset[str]]) -> bool:
-        """Take what is about to be unloaded; whether something new is closing."""
-        return self.world.apply_closing(closing)
-
     def apply_members(self, members: Members) -> None:
         """Take a newer member table."""
         self.world.apply_members(members)
--- a/src/zincvale/dataplane/forwarding/world.py
+++ b/src/zincvale/dataplane/forwarding/world.py
@@ -48,7 +48,6 @@
     _nodes: list[str] = attrs.field(factory=list)
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _residencies: dict[ServerId, Residency] = attrs.field(factory=dict)
-    _closing: Mapping[ServerId, frozenset[str]] = attrs.field(factory=dict)
     _has_directory: bool = False
 
     @property
@@ -94,16 +93,6 @@
             state.residency = self._residency_of(state.row)
             state.forget_absent()
 
-    def apply_closing(self, closing: Mapping[ServerId, frozenset[str]]) -> bool:
-        """Take what is about to be unloaded; whether something new is closing."""
-        is_new = any(
-            names - self._closing.get(server, frozenset()) for server, names in closing.items()
-        )
-        self._closing = closing
-        for server, state in self.servers.items():
-            state.closing = closing.get(server, frozenset())
-        return is_new
-
     def apply_members(self, members: Members) -> None:
         """Take a newer member table: the number of nodes sets this node's shares."""
         self._nodes = sorted(row.member for row in members.rows.values() if row.role is Role.NODE)
@@ -141,7 +130,6 @@
     def _state(self, known: ServerState | None, row: ServerRow, now: float) -> ServerState:
         if known is None or known.row.incarnation != row.incarnation:
             state = ServerState(row, self._residency_of(row))
-            state.closing = self._closing.get(row.server, frozenset())
             if row.cold_remaining_s > 0:
                 state.cold_until = now + row.cold_remaining_s
             return state
--- /dev/null
+++ b/tests/daemons/test_residency_publication.py
@@ -0,0 +1,69 @@
+"""What the leader tells nodes of the servers' holdings, and when."""
+
+from __future__ import annotations
+
+import testtools
+
+from tests.controlplane.placement.bench_world import make_row
+from zincvale.controlplane.placement.items import model_key
+from zincvale.controlplane.placement.servers import Holding, HoldingState, ServerState
+from zincvale.coordination.delivery_messages import PublishTopic
+from zincvale.daemons.forwarding_node import TOPICS
+from zincvale.daemons.residency_publication import ResidencyPublication
+from zincvale.daemons.residency_rows import RESIDENCY_TOPIC, ResidencyDecoder
+from zincvale.model.identifiers import ServerId
+
+SERVER = ServerId("s1")
+
+
+def make_server(**holdings: Holding) -> ServerState:
+    """Return placement's row of a server that holds these models."""
+    row = make_row(SERVER)
+    state = ServerState(row.server, row.address, row.pool, row.zone, row.incarnation)
+    for name, holding in holdings.items():
+        state.holdings[model_key(name)] = holding
+    return state
+
+
+def loaded(closing: bool = False) -> Holding:
+    """Return a copy in service, or about to be unloaded."""
+    return Holding(HoldingState.LOADED, 1, 0, 0.0, closing=closing)
+
+
+class PublicationTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.servers: dict[ServerId, ServerState] = {}
+        self.published: list[PublishTopic] = []
+        self.publication = ResidencyPublication(lambda: self.servers, self.published.append)
+
+    def told(self) -> frozenset[str]:
+        """Publish what changed; return the models that nodes take the server to hold."""
+        self.publication.touch((SERVER,))
+        self.publication.publish_changes(1)
+        rows: dict[str, bytes] = {}
+        for message in self.published:
+            rows.update(message.puts)
+        return ResidencyDecoder().update(rows)[SERVER].models
+
+    def test_what_is_about_to_be_unloaded_is_left_out_as_soon_as_that_is_planned(self) -> None:
+        self.servers[SERVER] = make_server(a=loaded(), b=loaded())
+        self.assertEqual(frozenset({"a", "b"}), self.told())
+        self.servers[SERVER].holdings[model_key("b")].closing = True
+        self.assertEqual(frozenset({"a"}), self.told())
+
+    def test_an_unload_that_was_given_up_brings_the_copy_back(self) -> None:
+        self.servers[SERVER] = make_server(a=loaded(closing=True))
+        self.assertEqual(frozenset(), self.told())
+        self.servers[SERVER].holdings[model_key("a")].closing = False
+        self.assertEqual(frozenset({"a"}), self.told())
+
+    def test_what_did_not_change_is_not_published_again(self) -> None:
+        self.servers[SERVER] = make_server(a=loaded())
+        self.told()
+        self.told()
+        self.assertEqual(1, len(self.published))
+
+    def test_nodes_follow_the_residency_and_not_the_calendar_of_moves(self) -> None:
+        self.assertIn(RESIDENCY_TOPIC, TOPICS)
+        self.assertNotIn("moves", TOPICS)
--- a/tests/dataplane/forwarding/test_choice.py
+++ b/tests/dataplane/forwarding/test_choice.py
@@ -64,7 +64,8 @@
 
     def test_what_is_closing_or_was_denied_gets_nothing(self):
         world = make_world(make_row("s1"), make_row("s2"))
-        world.apply_closing({ServerId("s1"): frozenset({"m"})})
+        left = {ServerId("s1"): Residency("s1", frozenset(), frozenset())}
+        world.apply_residencies(left)
         self.assertEqual("s2", server_of(choose(world, make_prompt())))
         world.servers[ServerId("s2")].note_absent(make_prompt(), 1.0)
         self.assertIs(Blocked.NOT_RESIDENT, choose(world, make_prompt(), now=1.1))
