Tracing: a bound on the sampled traces of one node

Cause: the fleet's target of 500 traces a second lets 66 nodes sample every request, and with as many collectors each trace is an exchange of its own: 27 of a node's 217 exchanges with peers in 28 s. Change: node_traces_per_s bounds what one node's head decisions aim at; forwarding nodes aim at 0.25. Errors are promoted as before. Tests: the bound with few and many collectors, the share without it.

--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -31,6 +31,7 @@
 from zincvale.runtime.listening import listen
 from zincvale.runtime.logs import log
 from zincvale.runtime.settings import DaemonSettings
+from zincvale.tracing.config import TracingConfig
 from zincvale.tracing.service import TracingService
 
 NODE_TICK_MS = 100
@@ -38,6 +39,9 @@
 DEMAND_INTERVAL_S = 0.5
 QUIET_DEMAND_INTERVAL_S = 1.5
 """Without requests a report only says that the node is there."""
+NODE_TRACES_PER_S = 0.25
+"""Sampled traces of ordinary requests; errors are kept beside them. One costs both ends about 3 ms
+together, so that they stay below a thousandth of a core."""
 LAME_DUCK_S = 3.2
 """A stopping node goes on taking callers for so long: the platform asks for readiness each second
 and stops sending callers after two misses."""
@@ -127,7 +131,13 @@
     def _build_services(self, dialect: ForwardingDialect) -> None:
         settings, forwarding = self._settings, self._forwarding
         self._tracing = TracingService(
-            self._member, self._random, self._clock, wall_now, self.process.peers.send, log=log
+            self._member,
+            self._random,
+            self._clock,
+            wall_now,
+            self.process.peers.send,
+            TracingConfig(node_traces_per_s=NODE_TRACES_PER_S),
+            log,
         )
         self._service = ForwardingService(
             self._member,
--- a/src/zincvale/tracing/config.py
+++ b/src/zincvale/tracing/config.py
@@ -17,6 +17,9 @@
     """False samples every trace: for members that make few of them."""
     target_traces_per_s: float = 500.0
     """Traces a second that the head decisions of all nodes together aim at."""
+    node_traces_per_s: float = 0.0
+    """Traces a second that the head decisions of one node aim at, at most; 0 bounds only all nodes
+    together. With many collectors each trace is an exchange of its own."""
     decision_wait_s: float = 30.0
     """From a trace's first span at its collector until its verdict."""
     longest_wait_s: float = 600.0
--- a/src/zincvale/tracing/recorder.py
+++ b/src/zincvale/tracing/recorder.py
@@ -141,8 +141,9 @@
         """Aim at an even share of the fleet's target, among `members` that mint traces."""
         if not self.config.head_sampling:
             return
-        share = self.config.target_traces_per_s / max(members, 1)
-        self.limiter.target_per_s = max(share, MIN_TARGET_PER_S)
+        share = max(self.config.target_traces_per_s / max(members, 1), MIN_TARGET_PER_S)
+        bound = self.config.node_traces_per_s
+        self.limiter.target_per_s = min(share, bound) if bound else share
 
     def context_from(self, header: str) -> TraceContext | None:
         """Return the context that another member's header carries, or None."""
--- a/tests/tracing/test_recorder.py
+++ b/tests/tracing/test_recorder.py
@@ -75,6 +75,18 @@
         probabilities = [chunk.probability for chunk in run.chunks]
         self.assertThat(probabilities, Equals([1.0] * 2_000))
 
+    def test_a_node_aims_at_no_more_than_its_own_bound_however_many_collect(self):
+        for members, target in ((1, 0.25), (60, 0.25), (100_000, 0.25)):
+            run = Recording(rate=None, node_traces_per_s=0.25)
+            run.recorder.share_target(members)
+            self.assertThat(run.recorder.limiter.target_per_s, Equals(target))
+
+    def test_without_a_bound_a_node_aims_at_its_share(self):
+        for members, target in ((1, 500.0), (100, 5.0), (100_000, 1.0)):
+            run = Recording(rate=None)
+            run.recorder.share_target(members)
+            self.assertThat(run.recorder.limiter.target_per_s, Equals(target))
+
 
 class Promotion(TestCase):
     def test_an_unsampled_trace_without_error_leaves_nothing(self):
