--- a/src/zincvale/bench/hollow_process.py
+++ b/src/zincvale/bench/hollow_process.py
@@ -16,7 +16,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.ioloop import IOLoop, PeriodicCallback
 
 from zincvale.controlplane.intent_rows import IntentDecoder
@@ -26,11 +25,11 @@
 from zincvale.model.machine import Tick
 from zincvale.runtime.clock import suspend_aware_now
 from zincvale.runtime.driver import MachineDriver
-from zincvale.transport.peer_client import PeerClient, PeerIdentity
+from zincvale.transport.peer_client import PeerClient, PeerIdentity, make_connections
+from zincvale.transport.server_client import ServerClient
 
 MAX_SECONDS = 600.0
 HOLLOW_TICK_MS = 100
-MAX_EXCHANGES = 2_000
 ZONES = ("zone-a", "zone-b", "zone-c")
 UNUSED_PORT = 9
 
@@ -39,7 +38,7 @@
     """One node without callers."""
 
     def __init__(
-        self, number: int, cluster_id: str, seeds: list[str], client: CurlAsyncHTTPClient
+        self, number: int, cluster_id: str, seeds: list[str], connections: ServerClient
     ) -> None:
         member = MemberId(f"hollow-{number}")
         incarnation = f"{number:08x}"
@@ -64,7 +63,7 @@
             {},
             self._deliver,
             lambda member, reachable, reason: None,
-            client,
+            connections,
         )
         self.driver.peers = self.peers
         self.changes_seen = 0
@@ -86,9 +85,10 @@
     """All hollow nodes of this process, ticked evenly over the interval."""
 
     def __init__(self, first: int, count: int, cluster_id: str, seeds: list[str]) -> None:
-        client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_EXCHANGES)
+        connections = make_connections()
         self.nodes = [
-            HollowNode(number, cluster_id, seeds, client) for number in range(first, first + count)
+            HollowNode(number, cluster_id, seeds, connections)
+            for number in range(first, first + count)
         ]
         self.intent = IntentDecoder()
         self._slices = 10
--- a/src/zincvale/daemons/http_fetch.py
+++ b/src/zincvale/daemons/http_fetch.py
@@ -9,30 +9,25 @@
 
 import socket
 import struct
+import time
 from collections.abc import Mapping
-from typing import Any
 
 import attrs
 import orjson
-import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from zincvale.model.addresses import split_address
-from zincvale.transport.peer_client import CURL_COULD_NOT_CONNECT
+from zincvale.transport.server_client import ServerClient
+from zincvale.transport.server_exchange import OutgoingRequest
+from zincvale.transport.whole_exchange import NoAnswer, fetch_whole
 
-MAX_CONCURRENT_FETCHES = 256
 MEMBER_HEADER = "X-Zincvale-Member"
 """Names the daemon behind an order or probe."""
-CONNECT_TIMEOUT_S = 0.5
 UNACKNOWLEDGED_LIMIT_MS = 300
 """At most the margin by which a leader stops before its lease ends: when the lease ends, what it
 sent has arrived or never will."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER, switched on, for no time at all."""
 NO_ANSWER_STATUS = 0
-CLIENT_FAILURE_STATUS = 599
-"""What tornado's client reports when no answer came."""
 
 
 @attrs.frozen
@@ -47,13 +42,13 @@
 
 
 class HttpFetcher:
-    """GET and POST through curl; every address goes through the address map."""
+    """GET and POST; every address goes through the address map."""
 
     def __init__(self, address_map: dict[str, str], member_id: str, own_address: str) -> None:
         self._address_map = address_map
-        self._headers = {MEMBER_HEADER: member_id}
+        self._member_id = member_id
         self._own_host = split_address(own_address)[0]
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CONCURRENT_FETCHES)
+        self._client = ServerClient(time.monotonic, address_map, self._prepare)
 
     async def get(self, address: str, path: str, timeout_s: float) -> FetchResult:
         """Return the answer to `GET path`."""
@@ -75,44 +70,35 @@
         timeout_s: float,
     ) -> FetchResult:
         """Return the answer to a call with further headers; a body is JSON."""
-        dialled = self._address_map.get(address, address)
-        headers = {**self._headers, **headers}
+        sent = {"Host": self._address_map.get(address, address), MEMBER_HEADER: self._member_id}
         if body is not None:
-            headers["Content-Type"] = "application/json"
-        request = HTTPRequest(
-            f"http://{dialled}{path}",
-            method=method,
-            body=body,
-            headers=headers,
-            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
-            request_timeout=timeout_s,
-            prepare_curl_callback=self._prepare,
+            sent["Content-Type"] = "application/json"
+        request = OutgoingRequest(
+            method, path, list({**sent, **headers}.items()), body, _belongs, may_repeat=False
         )
         try:
-            response = await self._client.fetch(request, raise_error=False)
-        except CurlError as error:
-            connected = error.errno != CURL_COULD_NOT_CONNECT
-            return FetchResult(NO_ANSWER_STATUS, error=str(error), connected=connected)
-        except (HTTPClientError, OSError) as error:
-            return FetchResult(NO_ANSWER_STATUS, error=str(error))
-        if response.code == CLIENT_FAILURE_STATUS:
-            failure = response.error
-            connected = getattr(failure, "errno", None) != CURL_COULD_NOT_CONNECT
-            return FetchResult(NO_ANSWER_STATUS, error=str(failure), connected=connected)
-        return FetchResult(response.code, response.body or b"")
-
-    def _prepare(self, curl: Any) -> None:
+            answer = await fetch_whole(self._client, address, request, timeout_s)
+        except NoAnswer as error:
+            return FetchResult(NO_ANSWER_STATUS, error=str(error), connected=error.connected)
+        return FetchResult(answer.status, answer.body)
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._client.close()
+
+    def _prepare(self, connected: socket.socket) -> None:
         """Send from the daemon's own address, so that a server sees which machine calls."""
-        curl.setopt(pycurl.INTERFACE, self._own_host)
-        curl.setopt(pycurl.SOCKOPTFUNCTION, discard_on_close)
-
-
-def discard_on_close(descriptor: int, purpose: int) -> int:
-    """Let a new connection lose what is on its way when it is given up; called by libcurl."""
-    borrowed = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor)
-    try:
-        borrowed.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        borrowed.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
-    finally:
-        borrowed.detach()
-    return int(pycurl.SOCKOPT_OK)
+        discard_on_close(connected)
+        connected.bind((self._own_host, 0))
+
+
+def discard_on_close(connected: socket.socket) -> None:
+    """Let a connection lose what is on its way when it is given up."""
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
+
+
+def _belongs(status: int, headers: Mapping[str, str]) -> bool:
+    """A connection carries one call at a time, and its answer is the one that follows."""
+    return True
--- a/src/zincvale/transport/compression.py
+++ b/src/zincvale/transport/compression.py
@@ -1,13 +1,14 @@
 """Compression of large bodies between peers.
 
 A document of many routes is a megabyte of rows: over a slow link it would take seconds and hold up
-the requests beside it. The HTTP libraries of both sides expand what is marked as compressed. The
+the requests beside it. The HTTP server and the peer client expand what is marked as compressed. The
 answer to polls is the same for many pollers, so the last ones are kept in their compressed form.
 """
 
 from __future__ import annotations
 
 import gzip
+import zlib
 from collections import OrderedDict
 
 GZIP = "gzip"
@@ -18,6 +19,21 @@
 KEPT_ANSWERS = 3
 
 
+class Unexpandable(Exception):
+    """A body that is marked as compressed is not, or not whole."""
+
+
+def expanded(body: bytes) -> bytes:
+    """Return what was compressed; for peers only, since nothing bounds its size.
+
+    Raises `Unexpandable`.
+    """
+    try:
+        return gzip.decompress(body)
+    except (OSError, EOFError, zlib.error) as error:
+        raise Unexpandable(f"body cannot be expanded: {error}") from error
+
+
 def compressed(body: bytes) -> bytes:
     """Return `body` by gzip; equal bodies give equal bytes."""
     return gzip.compress(body, LEVEL, mtime=0)
--- a/src/zincvale/transport/peer_client.py
+++ b/src/zincvale/transport/peer_client.py
@@ -1,25 +1,32 @@
-"""Client side of the peer protocol: batched one-way messages and calls, over curl."""
+"""Client side of the peer protocol: batched one-way messages and calls, over HTTP/1.1."""
 
 from __future__ import annotations
 
+import socket
+import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.ioloop import IOLoop
 
 from zincvale.model.errors import MalformedBody
 from zincvale.model.identifiers import MemberId
 from zincvale.transport.codec import Batch, decode_batch, encode_batch
-from zincvale.transport.compression import GZIP, LEAST_COMPRESSED_BYTES, compressed
+from zincvale.transport.compression import (
+    GZIP,
+    LEAST_COMPRESSED_BYTES,
+    Unexpandable,
+    compressed,
+    expanded,
+)
 from zincvale.transport.peer import PeerCallFailed, PeerNotReached
+from zincvale.transport.server_client import ServerClient
+from zincvale.transport.server_exchange import HeaderList, OutgoingRequest
+from zincvale.transport.whole_exchange import NoAnswer, WholeAnswer, fetch_whole
 
-CURL_COULD_NOT_CONNECT = 7
-MAX_CONCURRENT_EXCHANGES = 256
-CONNECT_TIMEOUT_S = 0.5
+LEAST_FAILURE_STATUS = 300
 SEND_TIMEOUT_S = 0.8
 MAX_QUEUED_MESSAGES = 2_000
 RAW_ADDRESS_PREFIX = "@"
@@ -53,9 +60,22 @@
     received_bytes: int = 0
 
 
-def make_curl_client() -> CurlAsyncHTTPClient:
-    """Return a client of its own for peer exchanges."""
-    return CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CONCURRENT_EXCHANGES)
+def make_connections(address_map: Mapping[str, str] | None = None) -> ServerClient:
+    """Return the connections of one process to its peers.
+
+    A peer that went dark is noticed by the machines, which time every call and lease; the kernel
+    need not give up bytes that cross a slow link.
+    """
+    return ServerClient(time.monotonic, address_map, _send_at_once)
+
+
+def _send_at_once(connected: socket.socket) -> None:
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def _belongs(status: int, headers: Mapping[str, str]) -> bool:
+    """Peers answer each request once, in its place."""
+    return True
 
 
 Resolve = Callable[[MemberId], str | None]
@@ -73,7 +93,7 @@
     address_map : advertised address to the address that is dialled instead.
     on_messages : called with the messages that a peer's answer to a batch carries.
     on_link_state : called with (member, reachable, reason) when a link changes state.
-    client : shared by several peer clients in one process; by default one of its own.
+    connections : shared by several peer clients in one process; by default its own.
     """
 
     def __init__(
@@ -83,15 +103,14 @@
         address_map: dict[str, str],
         on_messages: OnMessages,
         on_link_state: OnLinkState,
-        client: CurlAsyncHTTPClient | None = None,
+        connections: ServerClient | None = None,
     ) -> None:
         self._identity = identity
         self._resolve = resolve
-        self._address_map = address_map
         self._on_messages = on_messages
         self._on_link_state = on_link_state
         self._links: dict[MemberId, _Link] = {}
-        self._client = client or make_curl_client()
+        self._connections = connections or make_connections(address_map)
         self.traffic = PeerTraffic()
 
     def send(self, member: MemberId, message: Any) -> None:
@@ -114,7 +133,7 @@
 
     def close(self) -> None:
         """Close every connection."""
-        self._client.close()
+        self._connections.close()
 
     async def _drain(self, member: MemberId, link: _Link) -> None:
         try:
@@ -153,44 +172,65 @@
                 messages,
             )
         )
-        headers = {"Content-Type": BATCH_CONTENT_TYPE, "Expect": ""}
+        headers = [
+            ("Host", address),
+            ("Content-Type", BATCH_CONTENT_TYPE),
+            ("Accept-Encoding", GZIP),
+        ]
         if len(body) >= LEAST_COMPRESSED_BYTES:
             body = compressed(body)
-            headers["Content-Encoding"] = GZIP
-        request = HTTPRequest(
-            f"http://{address}{path}",
-            method="POST",
-            body=body,
-            headers=headers,
-            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
-            request_timeout=timeout_s,
-        )
+            headers.append(("Content-Encoding", GZIP))
         self.traffic.exchanges += 1
         self.traffic.sent_bytes += len(body)
-        response = await self._fetch(member, request)
-        self.traffic.received_bytes += len(response.body or b"")
-        if not response.body:
+        answer = await self._fetch(member, address, path, headers, body, timeout_s)
+        self.traffic.received_bytes += len(answer.body)
+        if not answer.body:
             return []
         try:
-            return decode_batch(response.body).messages
-        except MalformedBody as error:
+            return decode_batch(_expanded_body(answer)).messages
+        except (MalformedBody, Unexpandable) as error:
             raise PeerCallFailed(f"{member}: {error}") from error
 
-    async def _fetch(self, member: MemberId, request: HTTPRequest) -> HTTPResponse:
+    async def _fetch(
+        self,
+        member: MemberId,
+        address: str,
+        path: str,
+        headers: HeaderList,
+        body: bytes,
+        timeout_s: float,
+    ) -> WholeAnswer:
+        request = OutgoingRequest("POST", path, headers, body, _belongs, may_repeat=True)
         try:
-            return await self._client.fetch(request)
-        except CurlError as error:
-            if error.errno == CURL_COULD_NOT_CONNECT:
-                raise PeerNotReached(f"{member}: {error}") from error
-            raise PeerCallFailed(f"{member}: {error}") from error
-        except HTTPClientError as error:
-            raise PeerCallFailed(f"{member}: {error}") from error
+            answer = await self._fetch_again_if_stale(address, request, timeout_s)
+        except NoAnswer as error:
+            failure = PeerCallFailed if error.connected else PeerNotReached
+            raise failure(f"{member}: {error}") from error
+        if answer.status >= LEAST_FAILURE_STATUS:
+            raise PeerCallFailed(f"{member}: HTTP status {answer.status}")
+        return answer
+
+    async def _fetch_again_if_stale(
+        self, address: str, request: OutgoingRequest, timeout_s: float
+    ) -> WholeAnswer:
+        """Send once more when a resting connection ends as the request leaves on it.
+
+        The peer may have handled it: messages between peers may come twice, and may be lost.
+        """
+        try:
+            return await fetch_whole(self._connections, address, request, timeout_s)
+        except NoAnswer as error:
+            if not error.reused:
+                raise
+        return await fetch_whole(self._connections, address, request, timeout_s)
 
     def _address_of(self, member: MemberId) -> str | None:
         if member.startswith(RAW_ADDRESS_PREFIX):
-            advertised: str | None = member[len(RAW_ADDRESS_PREFIX) :]
-        else:
-            advertised = self._resolve(member)
-        if advertised is None:
-            return None
-        return self._address_map.get(advertised, advertised)
+            return member[len(RAW_ADDRESS_PREFIX) :]
+        return self._resolve(member)
+
+
+def _expanded_body(answer: WholeAnswer) -> bytes:
+    if answer.headers.get("content-encoding") == GZIP:
+        return expanded(answer.body)
+    return answer.body
--- a/src/zincvale/transport/server_client.py
+++ b/src/zincvale/transport/server_client.py
@@ -35,9 +35,15 @@
 
 
 class Exchange:
-    """One request on its way; `cancel` closes its connection."""
+    """One request on its way; `cancel` closes its connection.
+
+    Attributes
+    ----------
+    reused : the request left on a connection that had served another one.
+    """
 
     def __init__(self) -> None:
+        self.reused = False
         self._connection: ServerConnection | None = None
         self._cancelled = False
 
@@ -62,9 +68,15 @@
         """Whether the exchange was given up."""
         return self._cancelled
 
-    def attach(self, connection: ServerConnection) -> None:
+    @property
+    def is_attached(self) -> bool:
+        """Whether the request left."""
+        return self._connection is not None
+
+    def attach(self, connection: ServerConnection, reused: bool) -> None:
         """The request left on `connection`."""
         self._connection = connection
+        self.reused = reused
 
 
 @attrs.define
@@ -82,12 +94,17 @@
     ----------
     clock : seconds.
     address_map : advertised address to the address that is dialled instead.
+    prepare : sets the options of a socket before it is connected.
     """
 
     def __init__(
-        self, clock: Callable[[], float], address_map: Mapping[str, str] | None = None
+        self,
+        clock: Callable[[], float],
+        address_map: Mapping[str, str] | None = None,
+        prepare: Callable[[socket.socket], None] = set_options,
     ) -> None:
         self._clock = clock
+        self._prepare = prepare
         self._address_map = address_map or {}
         self._targets: dict[tuple[str, str], _Target] = {}
         self._open: set[ServerConnection] = set()
@@ -158,7 +175,7 @@
                 connection.close()
                 continue
             if connection.send(request, listener):
-                exchange.attach(connection)
+                exchange.attach(connection, reused=True)
                 self.counts.reused += 1
                 return True
         return False
@@ -171,7 +188,7 @@
         exchange: Exchange,
     ) -> None:
         if connection.send(request, listener):
-            exchange.attach(connection)
+            exchange.attach(connection, reused=False)
         else:
             listener.not_sent("the connection was closed at once")
 
@@ -180,8 +197,8 @@
         loop = asyncio.get_running_loop()
         connected = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         connected.setblocking(False)
-        set_options(connected)
         try:
+            self._prepare(connected)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.sock_connect(connected, (host, port))
         except BaseException:
--- a/tests/daemons/test_http_fetch.py
+++ b/tests/daemons/test_http_fetch.py
@@ -1,27 +1,22 @@
 """Calls of a core to servers: what is given up is lost, and does not arrive later."""
 
+import asyncio
 import socket
 import struct
+from unittest import mock
 
-import pycurl
 from testtools import TestCase
 
+from zincvale.daemons import http_fetch
 from zincvale.daemons.forwarding_timings import forwarding_timings
 from zincvale.daemons.http_fetch import (
     UNACKNOWLEDGED_LIMIT_MS,
+    FetchResult,
     HttpFetcher,
     discard_on_close,
 )
-
-
-class Curl:
-    """Notes the options that a call sets."""
-
-    def __init__(self):
-        self.options = {}
-
-    def setopt(self, option, value):
-        self.options[option] = value
+from zincvale.transport.server_client import Exchange
+from zincvale.transport.server_exchange import AnswerHead
 
 
 class DiscardTest(TestCase):
@@ -33,23 +28,75 @@
         self.addCleanup(self.socket.close)
 
     def test_closing_a_connection_resets_it(self):
-        self.assertEqual(pycurl.SOCKOPT_OK, discard_on_close(self.socket.fileno(), 0))
+        discard_on_close(self.socket)
         packed = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
         self.assertEqual((1, 0), struct.unpack("ii", packed))
 
     def test_bytes_that_nobody_acknowledges_are_given_up_before_the_lease_ends(self):
-        discard_on_close(self.socket.fileno(), 0)
+        discard_on_close(self.socket)
         limit_ms = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
         self.assertEqual(UNACKNOWLEDGED_LIMIT_MS, limit_ms)
         self.assertLessEqual(limit_ms / 1000.0, forwarding_timings().role_margin_s)
 
     def test_the_socket_stays_open(self):
-        discard_on_close(self.socket.fileno(), 0)
+        discard_on_close(self.socket)
         self.assertGreaterEqual(self.socket.fileno(), 0)
         self.socket.getsockname()
 
-    def test_every_call_asks_for_it(self):
-        curl = Curl()
-        HttpFetcher({}, "core-1", "127.0.0.1:7000")._prepare(curl)
-        self.assertIs(discard_on_close, curl.options[pycurl.SOCKOPTFUNCTION])
-        self.assertEqual("127.0.0.1", curl.options[pycurl.INTERFACE])
+    def test_every_call_asks_for_it_and_leaves_from_the_daemons_own_address(self):
+        with mock.patch.object(http_fetch, "ServerClient") as client:
+            HttpFetcher({}, "core-1", "127.0.0.1:7000")
+        prepare = client.call_args.args[2]
+        prepare(self.socket)
+        packed = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+        self.assertEqual((1, 0), struct.unpack("ii", packed))
+        self.assertEqual("127.0.0.1", self.socket.getsockname()[0])
+
+
+class Scripted:
+    """Connections on which each request meets what the script says."""
+
+    def __init__(self, script):
+        self.script = script
+        self.requests = []
+
+    def start(self, address, incarnation, request, listener):
+        self.requests.append((address, request))
+        asyncio.get_running_loop().call_soon(self.script, listener)
+        return Exchange()
+
+
+def answers(listener):
+    listener.head(AnswerHead(202, "Accepted", [("Content-Length", "4")]))
+    listener.content(b"do")
+    listener.content(b"ne")
+    listener.ended()
+
+
+class CallTest(TestCase):
+    def call(self, script, body=b"{}", timeout_s=1.0):
+        fetcher = HttpFetcher({}, "core-1", "127.0.0.1:7000")
+        fetcher._client = self.client = Scripted(script)
+        return asyncio.run(fetcher.call("10.0.0.1:1", "POST", "/o", body, {"X-A": "b"}, timeout_s))
+
+    def test_an_answer_is_handed_on_whole(self):
+        self.assertEqual(FetchResult(202, b"done"), self.call(answers))
+        ((address, request),) = self.client.requests
+        self.assertEqual(("10.0.0.1:1", "POST", "/o"), (address, request.method, request.target))
+        self.assertIn(("X-Zincvale-Member", "core-1"), request.headers)
+        self.assertIn(("Content-Type", "application/json"), request.headers)
+        self.assertIn(("X-A", "b"), request.headers)
+
+    def test_a_call_that_broke_off_may_have_been_handled_and_is_not_sent_again(self):
+        result = self.call(lambda listener: listener.broken("reset"))
+        self.assertEqual((0, True), (result.status, result.connected))
+        self.assertEqual(1, len(self.client.requests))
+
+    def test_without_a_connection_nothing_was_handled(self):
+        result = self.call(lambda listener: listener.not_sent("refused"))
+        self.assertEqual((0, False), (result.status, result.connected))
+
+    def test_a_call_without_an_answer_is_given_up(self):
+        result = self.call(lambda listener: None, timeout_s=0.0)
+        self.assertEqual(0, result.status)
+        self.assertIn("no answer", result.error)
