Waiting: a missing adapter is not taken for a missing model, and waits are held for what loads were seen to take

Change: Blocked.NO_ADAPTER, with its own expected time; the quick end of the waits is learned by pool and kind from the first request that waits for something; it decides whether a wait is hopeless, and what a refused caller is told. A test named a missing adapter as a missing model: it now tells both apart.

--- a/src/zincvale/controlplane/placement/choose_server.py
+++ b/src/zincvale/controlplane/placement/choose_server.py
@@ -13,6 +13,8 @@
 from zincvale.controlplane.placement.world import World
 from zincvale.model.identifiers import ServerId, ZoneName
 
+SOONER_PART = 0.7
+"""Part of the time from the store below which a server's own disk is worth being bound to it."""
 NO_SERVER = ServerId("")
 EVICTION_SAMPLE = 12
 SHORTLIST = 8
@@ -44,13 +46,13 @@
 def choose_by_disk(world: World, space: Space, now: float) -> Choice | None:
     """Return the best of the servers that hold the item's weights on their own disk, if any can.
 
-    None when a load from there takes no less time than one from the store. Raises `AllServersBusy`
+    None when a load from there is not clearly sooner than one from the store. Raises `AllServersBusy`
     when such a server is loading, and waiting for its end is still sooner than the store.
     """
     item = space.item
     known = _on_disk(world, item, now)
     from_store_s = world.expected_load_s(item)
-    if not known or world.expected_load_s(item, known[0]) >= from_store_s:
+    if not known or world.expected_load_s(item, known[0]) > from_store_s * SOONER_PART:
         return None
     free = [server for server in known if _pending(server) < server.load_slots(world.config, now)]
     choice = _best(world, space, free, False, now)
--- a/src/zincvale/dataplane/forwarding/forwarded_request.py
+++ b/src/zincvale/dataplane/forwarding/forwarded_request.py
@@ -41,7 +41,7 @@
 )
 from zincvale.dataplane.forwarding.request_machine import RequestMachine
 from zincvale.dataplane.forwarding.servers import ServerState
-from zincvale.dataplane.forwarding.waiting_room import Waiting, Wanted, retry_after_s
+from zincvale.dataplane.forwarding.waiting_room import Waiting, Wanted
 from zincvale.model.forwarding import ForwardRoute
 from zincvale.transport.server_client import Exchange
 from zincvale.transport.server_exchange import AnswerHead, OutgoingRequest
@@ -226,7 +226,7 @@
             return
         self._waiting = context.room.enter(wanted, choice, self._found, self._given_up, now)
         if self._waiting is None:
-            again_s = retry_after_s(choice, wanted, context.world.pool(self._pool))
+            again_s = context.room.retry_after_s(choice, wanted)
             self._inputs.append(NoServerFound(choice, again_s))
             return
         self._span.event("held", why=choice.value)
--- a/src/zincvale/dataplane/forwarding/node_context.py
+++ b/src/zincvale/dataplane/forwarding/node_context.py
@@ -13,7 +13,7 @@
 from zincvale.dataplane.forwarding.policies import Blocked, Chosen, PolicyChain, Query
 from zincvale.dataplane.forwarding.request_events import FinalKind
 from zincvale.dataplane.forwarding.servers import adapter_name
-from zincvale.dataplane.forwarding.waiting_room import WaitingRoom, Wanted
+from zincvale.dataplane.forwarding.waiting_room import WAITS_FOR_LOAD, WaitingRoom, Wanted
 from zincvale.dataplane.forwarding.world import ForwardingWorld
 from zincvale.dataplane.interfaces import Spans
 from zincvale.model.forwarding import ForwardRoute
@@ -120,7 +120,7 @@
         """Count a request that begins or stops waiting for a load."""
         if change > 0:
             self.pump_soon()
-        if prompt is None or blocked is not Blocked.NOT_RESIDENT:
+        if prompt is None or blocked not in WAITS_FOR_LOAD:
             return
         key = _key(pool, prompt)
         self.demand.on_waiting(key, change)
--- a/src/zincvale/dataplane/forwarding/policies.py
+++ b/src/zincvale/dataplane/forwarding/policies.py
@@ -31,6 +31,9 @@
 
     NO_SERVER = "no-server"
     NOT_RESIDENT = "not-resident"
+    """No server holds the model."""
+    NO_ADAPTER = "no-adapter"
+    """Servers hold the model, and none the adapter, which is loaded within moments."""
     BUSY = "busy"
 
 
@@ -64,6 +67,10 @@
         """Whether the request may go to the server."""
         raise NotImplementedError
 
+    def why_none(self, query: Query, servers: list[ServerState]) -> Blocked:
+        """Return what it means that none of `servers` is kept."""
+        return self.blocked
+
 
 class Scorer:
     """Prices servers."""
@@ -96,6 +103,14 @@
         """Whether what the request asks for is there."""
         return query.prompt is None or server.holds(query.prompt, query.now)
 
+    def why_none(self, query: Query, servers: list[ServerState]) -> Blocked:
+        """Tell a missing adapter from a missing model."""
+        prompt = query.prompt
+        if prompt is None or not prompt.adapter:
+            return self.blocked
+        has_model = any(server.holds_model(prompt, query.now) for server in servers)
+        return Blocked.NO_ADAPTER if has_model else self.blocked
+
 
 class NotPaused(Filter):
     """Servers that did not fail or refuse a moment ago."""
@@ -289,7 +304,7 @@
             if not kept and policy.soft:
                 continue
             if not kept:
-                return policy.blocked
+                return policy.why_none(query, servers)
             servers = kept
         return self._cheapest(query, servers)
 
--- a/src/zincvale/dataplane/forwarding/servers.py
+++ b/src/zincvale/dataplane/forwarding/servers.py
@@ -87,6 +87,12 @@
             return False
         return all(now >= self._absent_until.get(name, -math.inf) for name in wanted_names(prompt))
 
+    def holds_model(self, prompt: Prompt, now: float) -> bool:
+        """Whether the prompt's model is here, whatever adapter it names."""
+        if prompt.model not in self.residency.models:
+            return False
+        return now >= self._absent_until.get(prompt.model, -math.inf)
+
     def note_absent(self, prompt: Prompt, now: float) -> None:
         """Remember the server's own word that it lacks what the prompt asks for."""
         self._absent_until[wanted_names(prompt)[-1]] = now + ABSENT_MEMORY_S
--- a/src/zincvale/dataplane/forwarding/waiting_room.py
+++ b/src/zincvale/dataplane/forwarding/waiting_room.py
@@ -15,6 +15,13 @@
 """What a load takes beyond its own time: the order, and word of its end."""
 LOAD_SLACK = 1.6
 """A load may take this much longer than expected before waiting for it is given up."""
+ADAPTER_LOAD_S = 0.3
+"""An adapter's load and what it takes beyond, until one was waited for."""
+ADAPTER_SLACK = 4.0
+"""An adapter may wait behind a load of weights at its server."""
+SHORTER_WAIT_WEIGHT = 0.3
+LONGER_WAIT_WEIGHT = 0.05
+"""How fast the quick end of the observed waits is learned from shorter and from longer ones."""
 BUSY_PATIENCE_PART = 0.25
 """Part of the objective that a request waits for a free place."""
 LONGEST_WAIT_PART = 0.6
@@ -22,6 +29,7 @@
 LEAST_PATIENCE_S = 0.05
 NO_SERVER_PATIENCE_S = 0.5
 LEAST_RETRY_AFTER_S = 0.1
+WAITS_FOR_LOAD = frozenset({Blocked.NOT_RESIDENT, Blocked.NO_ADAPTER})
 
 
 @attrs.frozen
@@ -46,7 +54,13 @@
 
 @attrs.define(eq=False)
 class Waiting:
-    """One request in the room."""
+    """One request in the room.
+
+    Attributes
+    ----------
+    is_first : no other request waited for the same when this one came: its wait shows how long a
+        load takes.
+    """
 
     wanted: Wanted
     blocked: Blocked
@@ -54,40 +68,72 @@
     on_found: OnFound
     on_given_up: OnGivenUp
     order: tuple[int, int]
+    since: float
+    is_first: bool
+
+
+@attrs.define
+class LoadWaits:
+    """How soon what requests waited for was there, learned by pool and kind of wait.
+
+    The quick end of the waits is kept: weights that a server has on its own disk come much sooner
+    than declared, and a wait that may end so is not hopeless.
+    """
+
+    _quick_s: dict[tuple[str, Blocked], float] = attrs.field(factory=dict)
+
+    def note(self, pool: str, blocked: Blocked, waited_s: float) -> None:
+        """A wait ended with a server."""
+        known = self._quick_s.get((pool, blocked))
+        if known is None:
+            self._quick_s[pool, blocked] = waited_s
+            return
+        weight = SHORTER_WAIT_WEIGHT if waited_s < known else LONGER_WAIT_WEIGHT
+        self._quick_s[pool, blocked] = known + weight * (waited_s - known)
+
+    def soonest_s(self, pool: str, blocked: Blocked, expected_s: float) -> float:
+        """Return how soon a wait may end: as learned, at most as expected."""
+        return min(expected_s, self._quick_s.get((pool, blocked), expected_s))
 
 
 def patience_s(
-    wanted: Wanted, blocked: Blocked, pool: ForwardPool | None, now: float
+    wanted: Wanted, blocked: Blocked, pool: ForwardPool | None, waits: LoadWaits, now: float
 ) -> float | None:
     """Return how long waiting is worth it, None when it is hopeless from the start."""
     left_s = wanted.deadline_at - now
     longest_s = left_s * LONGEST_WAIT_PART
     match blocked:
-        case Blocked.NOT_RESIDENT:
-            load_s = expected_load_s(wanted.prompt, pool)
-            if load_s is None or load_s > longest_s:
+        case Blocked.NOT_RESIDENT | Blocked.NO_ADAPTER:
+            load_s = expected_load_s(wanted.prompt, pool, blocked)
+            if load_s is None or waits.soonest_s(wanted.pool, blocked, load_s) > longest_s:
                 return None
-            return min(longest_s, load_s * LOAD_SLACK)
+            slack = ADAPTER_SLACK if blocked is Blocked.NO_ADAPTER else LOAD_SLACK
+            return min(longest_s, load_s * slack)
         case Blocked.BUSY:
             return min(longest_s, wanted.route.objective_s * BUSY_PATIENCE_PART)
         case Blocked.NO_SERVER:
             return min(longest_s, NO_SERVER_PATIENCE_S)
 
 
-def expected_load_s(prompt: Prompt | None, pool: ForwardPool | None) -> float | None:
+def expected_load_s(
+    prompt: Prompt | None, pool: ForwardPool | None, blocked: Blocked
+) -> float | None:
     """Return how long a load of what the prompt lacks takes; None when it cannot be loaded."""
     if prompt is None or pool is None or pool.engine is None:
         return None
     model = pool.engine.models.get(prompt.model)
     if model is None or (prompt.adapter and prompt.adapter not in model.adapters):
         return None
-    return model.load_s + LOAD_OVERHEAD_S
+    return ADAPTER_LOAD_S if blocked is Blocked.NO_ADAPTER else model.load_s + LOAD_OVERHEAD_S
 
 
-def retry_after_s(blocked: Blocked, wanted: Wanted, pool: ForwardPool | None) -> float:
+def retry_after_s(
+    blocked: Blocked, wanted: Wanted, pool: ForwardPool | None, waits: LoadWaits
+) -> float:
     """Return when the caller should come back."""
-    if blocked is Blocked.NOT_RESIDENT:
-        return expected_load_s(wanted.prompt, pool) or LEAST_RETRY_AFTER_S
+    if blocked in WAITS_FOR_LOAD:
+        expected_s = expected_load_s(wanted.prompt, pool, blocked) or LEAST_RETRY_AFTER_S
+        return max(LEAST_RETRY_AFTER_S, waits.soonest_s(wanted.pool, blocked, expected_s))
     return max(LEAST_RETRY_AFTER_S, wanted.route.objective_s * BUSY_PATIENCE_PART)
 
 
@@ -103,6 +149,7 @@
         self._pool_of = pool_of
         self._numbers = itertools.count()
         self._waiting: list[Waiting] = []
+        self.waits = LoadWaits()
 
     def __len__(self) -> int:
         """Return how many wait."""
@@ -117,7 +164,7 @@
         now: float,
     ) -> Waiting | None:
         """Let a request wait; None when waiting is hopeless and it must be given up at once."""
-        patience = patience_s(wanted, blocked, self._pool_of(wanted.pool), now)
+        patience = patience_s(wanted, blocked, self._pool_of(wanted.pool), self.waits, now)
         if patience is None or patience < LEAST_PATIENCE_S:
             return None
         waiting = Waiting(
@@ -127,11 +174,17 @@
             on_found,
             on_given_up,
             (wanted.route.priority, next(self._numbers)),
+            now,
+            not any(_wait_for_the_same(each.wanted, wanted) for each in self._waiting),
         )
         self._waiting.append(waiting)
         self._waiting.sort(key=lambda each: each.order)
         return waiting
 
+    def retry_after_s(self, blocked: Blocked, wanted: Wanted) -> float:
+        """Return when the caller of a request that is refused should come back."""
+        return retry_after_s(blocked, wanted, self._pool_of(wanted.pool), self.waits)
+
     def leave(self, waiting: Waiting) -> None:
         """Forget a request that no longer waits."""
         if waiting in self._waiting:
@@ -154,8 +207,15 @@
             choice = choose(waiting.wanted)
             if isinstance(choice, Chosen):
                 self.leave(waiting)
+                if waiting.is_first and waiting.blocked in WAITS_FOR_LOAD:
+                    self.waits.note(waiting.wanted.pool, waiting.blocked, now - waiting.since)
                 waiting.on_found(choice)
             elif now >= waiting.give_up_at:
                 self.leave(waiting)
-                again_s = retry_after_s(choice, waiting.wanted, self._pool_of(waiting.wanted.pool))
-                waiting.on_given_up(choice, again_s)
+                waiting.on_given_up(choice, self.retry_after_s(choice, waiting.wanted))
+
+
+def _wait_for_the_same(one: Wanted, other: Wanted) -> bool:
+    if one.pool != other.pool or one.prompt is None or other.prompt is None:
+        return False
+    return (one.prompt.model, one.prompt.adapter) == (other.prompt.model, other.prompt.adapter)
--- a/tests/controlplane/placement/test_disk_copies.py
+++ b/tests/controlplane/placement/test_disk_copies.py
@@ -124,7 +124,7 @@
         self.assertFalse(load_of(wanted(settled(config)), "m").order.from_disk)
 
     def test_where_disks_are_slower_than_the_store_nothing_draws_it_there(self) -> None:
-        for store_s, disk_s, expected in ((5.0, 0.8, True), (0.8, 5.0, False)):
+        for store_s, disk_s, expected in ((5.0, 0.8, True), (0.8, 5.0, False), (0.8, 0.7, False)):
             driver = settled()
             times = driver.controller.world.load_times
             times.observe(model_key("x"), 30 * GB, "server-9", "weights", store_s)
--- a/tests/dataplane/forwarding/test_choice.py
+++ b/tests/dataplane/forwarding/test_choice.py
@@ -50,6 +50,8 @@
         world = make_world(make_row("s1", models=("other",)))
         self.assertIs(Blocked.NOT_RESIDENT, choose(world, make_prompt()))
         world = make_world(make_row("s1"))
+        self.assertIs(Blocked.NO_ADAPTER, choose(world, make_prompt(adapter="a1")))
+        world = make_world(make_row("s1", models=("other",)))
         self.assertIs(Blocked.NOT_RESIDENT, choose(world, make_prompt(adapter="a1")))
         world = make_world(make_row("s1", adapters=("m/a1",)))
         self.assertEqual("s1", server_of(choose(world, make_prompt(adapter="a1"))))
--- a/tests/dataplane/forwarding/test_parts.py
+++ b/tests/dataplane/forwarding/test_parts.py
@@ -19,7 +19,7 @@
 from zincvale.dataplane.forwarding.native_dialect import NativeDialect
 from zincvale.dataplane.forwarding.policies import Blocked, Chosen
 from zincvale.dataplane.forwarding.route_table import RouteTable
-from zincvale.dataplane.forwarding.waiting_room import WaitingRoom, Wanted
+from zincvale.dataplane.forwarding.waiting_room import LoadWaits, WaitingRoom, Wanted
 
 
 class RouteTableTest(testtools.TestCase):
@@ -202,6 +202,37 @@
         self.assertEqual(Blocked.NOT_RESIDENT, log[0][0])
         self.assertTrue(log[0][1] > 0.1)
 
+    def test_a_wait_for_an_adapter_is_short_and_is_not_taken_for_one_for_a_model(self):
+        soon = self.wanted(deadline_at=1.0)
+        self.assertIsNone(self.enter(self.room(), soon)[0])
+        waiting, _ = self.enter(self.room(), soon, Blocked.NO_ADAPTER)
+        self.assertEqual(0.6, waiting.give_up_at)
+        self.assertLess(self.room().retry_after_s(Blocked.NO_ADAPTER, soon), 0.5)
+
+    def test_waits_that_ended_soon_make_others_worth_it(self):
+        room = self.room()
+        hopeless = self.wanted(deadline_at=1.0)
+        self.assertIsNone(self.enter(room, hopeless)[0])
+        self.enter(room, self.wanted())
+        room.pump(lambda wanted: Chosen(None, 0), 0.3)
+        self.assertIsNotNone(self.enter(room, hopeless)[0])
+        self.assertAlmostEqual(0.3, room.retry_after_s(Blocked.NOT_RESIDENT, hopeless))
+
+    def test_only_the_first_that_waits_tells_how_long_a_load_takes(self):
+        room = self.room()
+        self.enter(room, self.wanted())
+        room.enter(self.wanted(), Blocked.NOT_RESIDENT, lambda chosen: None, lambda *_: None, 0.29)
+        room.pump(lambda wanted: Chosen(None, 0), 0.3)
+        self.assertAlmostEqual(0.3, room.retry_after_s(Blocked.NOT_RESIDENT, self.wanted()))
+
+    def test_shorter_waits_are_learned_faster_than_longer_ones(self):
+        waits = LoadWaits()
+        for waited_s in (6.0, 1.0, 6.0, 1.0, 6.0):
+            waits.note("p", Blocked.NOT_RESIDENT, waited_s)
+        self.assertLess(waits.soonest_s("p", Blocked.NOT_RESIDENT, 9.0), 4.0)
+        self.assertEqual(0.5, waits.soonest_s("p", Blocked.NOT_RESIDENT, 0.5))
+        self.assertEqual(9.0, waits.soonest_s("q", Blocked.NOT_RESIDENT, 9.0))
+
     def test_a_stopping_node_empties_the_room(self):
         room = self.room()
         self.enter(room, self.wanted())
