--- a/src/zincvale/controlplane/placement/choose_server.py
+++ b/src/zincvale/controlplane/placement/choose_server.py
@@ -46,8 +46,8 @@
 def choose_by_disk(world: World, space: Space, now: float) -> Choice | None:
     """Return the best of the servers that hold the item's weights on their own disk, if any can.
 
-    None when a load from there is not clearly sooner than one from the store. Raises `AllServersBusy`
-    when such a server is loading, and waiting for its end is still sooner than the store.
+    None when a load from there is not clearly sooner than one from the store. Raises
+    `AllServersBusy` when such a server is loading, and waiting for its end is still sooner.
     """
     item = space.item
     known = _on_disk(world, item, now)
