Placement: weights are fetched onto servers' own disks while servers are idle

Cause: on the large deployment 234 places hold 496 models, most of them asked for once or twice a day, so that most misses are the first load of a model: 5.1 to 5.7 s from the store, 0.8 s once a server has it on disk. Change: a system of the controller loads each model that no disk has once, in one place of each idle server: all servers while nobody asks, else only beyond the six tenths of a pool that stay idle for requests, and within three fifths of the store's window. A spare copy is unloaded and loaded again first, to learn how fast disks are. A model's declared load time counts until one was seen.

--- a/src/zincvale/controlplane/document_intent.py
+++ b/src/zincvale/controlplane/document_intent.py
@@ -91,7 +91,11 @@
         adapters: dict[AdapterName, AdapterSpec] = {}
         for model, each in engine.models.items():
             models[ModelName(model)] = ModelSpec(
-                each.weight_bytes, store=name, pool=name, kv_bytes_per_token=0
+                each.weight_bytes,
+                store=name,
+                pool=name,
+                kv_bytes_per_token=0,
+                load_s=each.load_s,
             )
             for adapter in each.adapters:
                 adapters[AdapterName(f"{model}/{adapter}")] = AdapterSpec(
--- a/src/zincvale/controlplane/placement/controller.py
+++ b/src/zincvale/controlplane/placement/controller.py
@@ -40,6 +40,7 @@
 )
 from zincvale.controlplane.placement.plan_loads import plan_loads
 from zincvale.controlplane.placement.plan_unloads import unload_undeclared
+from zincvale.controlplane.placement.prefetch import prefetch
 from zincvale.controlplane.placement.publish import publish_changes, trim_history
 from zincvale.controlplane.placement.report_intake import take_directory
 from zincvale.controlplane.placement.settle import expire_unanswered
@@ -58,6 +59,7 @@
     review_items,
     unload_undeclared,
     plan_loads,
+    prefetch,
     order_unloads,
     order_loads,
     track_drains,
--- a/src/zincvale/controlplane/placement/demand_intake.py
+++ b/src/zincvale/controlplane/placement/demand_intake.py
@@ -4,6 +4,7 @@
 
 from zincvale.controlplane.placement.events import DemandReported, DemandRow, UseRow
 from zincvale.controlplane.placement.items import ItemKey, adapter_key, model_key
+from zincvale.controlplane.placement.prefetch import note_asked
 from zincvale.controlplane.placement.world import NodeDemand, World
 from zincvale.model.identifiers import MemberId, ServerId
 
@@ -49,6 +50,7 @@
         if row.requests:
             first = item.demand.profile is None
             item.demand.add(row.requests, now, world.config)
+            note_asked(world, item, now)
             if not item.serving:
                 item.missed.add(row.requests, now)
             if first or (item.wanted and not item.holders):
--- a/src/zincvale/controlplane/placement/intent_intake.py
+++ b/src/zincvale/controlplane/placement/intent_intake.py
@@ -141,6 +141,7 @@
         world.items[adapter].pool = item.pool
     item.min_replicas = spec.min_replicas
     item.stake = spec.stake
+    item.declared_load_s = spec.load_s
     _adopt_holders(world, item)
 
 
--- a/src/zincvale/controlplane/placement/items.py
+++ b/src/zincvale/controlplane/placement/items.py
@@ -48,6 +48,7 @@
     Attributes
     ----------
     kv_bytes : KV cache kept on a server for it at least (models only).
+    declared_load_s : of a load from the store, until one was seen; 0 when not declared.
     base : the adapter's base model.
     adapters : the model's declared adapters.
     holders : servers where it occupies memory, in any state.
@@ -79,6 +80,7 @@
     kv_bytes: int = 0
     base: ItemKey | None = None
     min_replicas: int = 0
+    declared_load_s: float = 0.0
     stake: Stake = Stake.NORMAL
     adapters: dict[ItemKey, None] = attrs.field(factory=dict)
     holders: dict[ServerId, None] = attrs.field(factory=dict)
--- a/src/zincvale/controlplane/placement/load_times.py
+++ b/src/zincvale/controlplane/placement/load_times.py
@@ -53,14 +53,18 @@
         self.disk_rate_by_store[store] = _mix(self.disk_rate_by_store.get(store), rate)
 
     def expected_from_disk_s(
-        self, item_bytes: int, store: StoreName, store_bytes_per_second: int
+        self,
+        item_bytes: int,
+        store: StoreName,
+        store_bytes_per_second: int,
+        declared_s: float = 0.0,
     ) -> float:
         """Return how long a load from a server's own disk will take."""
         rate = self.disk_rate_by_store.get(store)
         if rate is not None:
             return max(item_bytes / rate, SHORTEST_LOAD_S)
-        from_store = self.rate_by_store.get(store, float(store_bytes_per_second))
-        return max(item_bytes / max(from_store, 1.0) * DISK_GUESS_PART, SHORTEST_LOAD_S)
+        from_store_s = self._from_store_s(item_bytes, store, store_bytes_per_second, declared_s)
+        return max(from_store_s * DISK_GUESS_PART, SHORTEST_LOAD_S)
 
     def expected_s(
         self,
@@ -69,8 +73,12 @@
         server: ServerId | None,
         store: StoreName,
         store_bytes_per_second: int,
+        declared_s: float = 0.0,
     ) -> float:
-        """Return how long a load will take; `server` of None asks for any server."""
+        """Return how long a load will take; `server` of None asks for any server.
+
+        A declared time counts until a load from the store was seen.
+        """
         if server is not None:
             learned = self.by_pair.get((item, server))
             if learned is not None:
@@ -78,7 +86,15 @@
             rate = self.rate_by_server.get(server)
             if rate is not None:
                 return max(item_bytes / rate, SHORTEST_LOAD_S)
-        rate = self.rate_by_store.get(store, float(store_bytes_per_second))
+        return self._from_store_s(item_bytes, store, store_bytes_per_second, declared_s)
+
+    def _from_store_s(
+        self, item_bytes: int, store: StoreName, store_bytes_per_second: int, declared_s: float
+    ) -> float:
+        rate = self.rate_by_store.get(store)
+        if rate is None and declared_s:
+            return declared_s
+        rate = rate or float(store_bytes_per_second)
         return max(item_bytes / max(rate, 1.0), SHORTEST_LOAD_S)
 
 
--- a/src/zincvale/controlplane/placement/move_ends.py
+++ b/src/zincvale/controlplane/placement/move_ends.py
@@ -147,6 +147,7 @@
 ) -> None:
     world.set_state(server, move_item_key(move), holding, HoldingState.LOADED)
     holding.since = now
+    holding.fetched_ahead = move.reason is MoveReason.PREFETCH
     if item is None:
         return
     item.failures = 0
--- a/src/zincvale/controlplane/placement/moves.py
+++ b/src/zincvale/controlplane/placement/moves.py
@@ -52,6 +52,8 @@
     DAILY_CHANGE = "daily-change"
     HIGHER_VALUE = "higher-value"
     FREE_MEMORY = "free-memory"
+    PREFETCH = "prefetch"
+    """Brings weights onto a server's own disk."""
     MAKE_ROOM = "make-room"
     NOT_DECLARED = "not-declared"
     FOUND_IN_PROGRESS = "found-in-progress"
--- a/src/zincvale/controlplane/placement/plan_loads.py
+++ b/src/zincvale/controlplane/placement/plan_loads.py
@@ -160,7 +160,7 @@
         if reason is not MoveReason.WAITING_REQUESTS:
             item.place_after = now + world.config.review_interval_s
         return Planning.NOWHERE
-    _add_moves(world, item, reason, choice, now)
+    add_load_moves(world, item, reason, choice, now)
     if item.kind is ItemKind.MODEL:
         world.queue_adapters(item)
     if _still_short(world, item):
@@ -187,7 +187,10 @@
     )
 
 
-def _add_moves(world: World, item: ItemRow, reason: MoveReason, choice: Choice, now: float) -> None:
+def add_load_moves(
+    world: World, item: ItemRow, reason: MoveReason, choice: Choice, now: float
+) -> None:
+    """Put a load and what leaves for it on the calendar."""
     server = choice.server
     detail = _detail(world, item, reason, choice, now)
     after = _plan_evictions(world, item, choice, now)
--- /dev/null
+++ b/src/zincvale/controlplane/placement/prefetch.py
@@ -0,0 +1,224 @@
+"""System: brings weights onto servers' own disks ahead of requests, while servers are idle.
+
+A server loads what it held before from its own disk. Where that takes much less time than a load
+from the store, the first request for a model that no disk has is the expensive one; so models that
+no server ever held are loaded once, in one place of each idle server, and leave again for the next.
+
+Whether disks are faster is tried first, by unloading and loading again a copy that is not needed.
+While nobody asks for anything every idle server takes part. Else most of a pool's servers are kept
+idle for what requests need: a load from the store occupies its server for its whole time.
+"""
+
+from __future__ import annotations
+
+import math
+
+from zincvale.controlplane.placement.choose_server import Choice
+from zincvale.controlplane.placement.eviction import NO_EVICTION, Eviction, Space
+from zincvale.controlplane.placement.items import ItemKey, ItemKind, ItemRow
+from zincvale.controlplane.placement.moves import Move, MoveReason, MoveState
+from zincvale.controlplane.placement.plan_loads import add_load_moves
+from zincvale.controlplane.placement.plan_unloads import plan_unload
+from zincvale.controlplane.placement.prefetch_state import PrefetchState
+from zincvale.controlplane.placement.servers import Holding, HoldingState, ServerState
+from zincvale.controlplane.placement.world import World
+from zincvale.model.identifiers import PoolName, ServerId
+
+SHORT_LOAD_S = 1.5
+"""A load from the store that takes no longer is not worth fetching ahead."""
+FASTER_PART = 0.5
+"""Part of the time from the store that a load from disk may take for fetching to be worth it."""
+QUIET_S = 1.5
+"""Without requests for so long, every idle server may fetch."""
+KEPT_IDLE_SHARE = 0.6
+"""Part of a pool's servers that are left idle while requests come."""
+LOOK_INTERVAL_S = 0.25
+WINDOW_SHARE = 0.6
+"""Part of what a store gives in a window that fetching may use up; the rest is for requests."""
+
+
+def note_asked(world: World, item: ItemRow, now: float) -> None:
+    """Requests came for an item."""
+    world.prefetches.setdefault(item.pool, PrefetchState()).asked_at = now
+
+
+def prefetch(world: World, now: float) -> None:
+    """System: plan loads that bring weights onto disks."""
+    if not world.config.servers_keep_weights or not world.leadership.may_order(now):
+        return
+    if not world.leadership.stores_open:
+        return
+    for pool, servers in world.servers_by_pool.items():
+        state = world.prefetches.setdefault(pool, PrefetchState())
+        if now < state.looked_at + LOOK_INTERVAL_S:
+            continue
+        state.looked_at = now
+        idle = [world.servers[server] for server in servers if _is_idle(world, server)]
+        if not idle:
+            continue
+        worth = _is_worth(world, pool)
+        if worth is None:
+            _try_disk(world, state, idle, now)
+        elif worth:
+            _fetch(world, pool, state, idle, now)
+
+
+def _is_idle(world: World, server_id: ServerId) -> bool:
+    server = world.servers[server_id]
+    if not server.serving or server.settled_epoch != world.leadership.epoch:
+        return False
+    return not world.moves_by_server.get(server_id) and not server.planned_models
+
+
+def _is_worth(world: World, pool: PoolName) -> bool | None:
+    """Whether disks are much faster than the store; None when that must be tried."""
+    longest = max(
+        (item for item in world.items.values() if _is_model_of(item, pool)),
+        key=world.expected_load_s,
+        default=None,
+    )
+    if longest is None or world.expected_load_s(longest) <= SHORT_LOAD_S:
+        return False
+    if longest.store not in world.load_times.disk_rate_by_store:
+        return None
+    from_disk_s = world.expected_return_s(longest)
+    return from_disk_s <= world.expected_load_s(longest) * FASTER_PART
+
+
+def _is_model_of(item: ItemRow, pool: PoolName) -> bool:
+    return item.kind is ItemKind.MODEL and item.pool == pool and item.weight_bytes > 0
+
+
+# --- the trial ------------------------------------------------------------------------------
+
+
+def _try_disk(world: World, state: PrefetchState, idle: list[ServerState], now: float) -> None:
+    if state.trial is not None and state.trial in world.moves:
+        return
+    finished = world.finished_moves.get(state.trial) if state.trial is not None else None
+    state.trial = None
+    server = world.servers.get(state.trial_server)
+    item = world.items.get(state.trial_key)
+    if finished is not None and finished.state is MoveState.DONE and server in idle and item:
+        _load(world, item, server, NO_EVICTION, now)
+        return
+    if any(_is_prefetch(move) for move in world.moves.values()):
+        return
+    for server in idle:
+        key = _spare_copy(world, server, now)
+        if key is not None:
+            detail = "loaded again at once, to learn how long that takes from the server's disk"
+            state.trial = plan_unload(world, server, key, MoveReason.PREFETCH, detail, (), now)
+            state.trial_key, state.trial_server = key, server.server
+            return
+
+
+def _spare_copy(world: World, server: ServerState, now: float) -> ItemKey | None:
+    """Return a model on the server whose other copies are enough."""
+    for key, holding in server.holdings.items():
+        item = world.items.get(key)
+        if item is None or item.kind is not ItemKind.MODEL:
+            continue
+        is_free = holding.state is HoldingState.LOADED and holding.move is None
+        if is_free and item.serving > max(item.wanted, item.min_replicas, 1) and not item.running:
+            return key
+    return None
+
+
+# --- fetching -------------------------------------------------------------------------------
+
+
+def _fetch(
+    world: World, pool: PoolName, state: PrefetchState, idle: list[ServerState], now: float
+) -> None:
+    room = len(idle)
+    if now - state.asked_at <= QUIET_S:
+        room -= math.ceil(len(world.servers_by_pool[pool]) * KEPT_IDLE_SHARE)
+    if room <= 0:
+        return
+    missing = _on_no_disk(world, pool)
+    room = min(room, _window_left(world, missing, now)) if missing else 0
+    for server in idle:
+        if room <= 0 or not missing:
+            return
+        item = missing[-1]
+        eviction = _place(world, item, server)
+        if eviction is None:
+            continue
+        missing.pop()
+        room -= 1
+        _load(world, item, server, eviction, now)
+
+
+def _is_prefetch(move: Move) -> bool:
+    return move.reason is MoveReason.PREFETCH
+
+
+def _window_left(world: World, missing: list[ItemRow], now: float) -> int:
+    """Return how many more loads fetching may begin in the store's window that ends now."""
+    store = world.stores.get(missing[-1].store)
+    if store is None:
+        return 0
+    if not store.loads_per_window:
+        return len(missing)
+    planned = sum(
+        1 for move in world.moves.values() if _is_prefetch(move) and move.state is MoveState.PLANNED
+    )
+    return math.floor(store.loads_per_window * WINDOW_SHARE) - store.begun(now) - planned
+
+
+def _on_no_disk(world: World, pool: PoolName) -> list[ItemRow]:
+    """Return the models that no server in the directory has on disk, the least wanted first."""
+    missing = [
+        item
+        for item in world.items.values()
+        if _is_model_of(item, pool)
+        and not item.holders
+        and not item.planned
+        and not world.is_on_disk(item)
+    ]
+    missing.sort(key=lambda item: item.missed.count)
+    return missing
+
+
+def _place(world: World, item: ItemRow, server: ServerState) -> Eviction | None:
+    """Return what leaves for the item, None when something that may be asked for would."""
+    space = Space(item, item.weight_bytes)
+    missing_bytes = space.missing_bytes(world, server)
+    if missing_bytes <= 0:
+        return NO_EVICTION
+    fitting = [
+        (rank, key)
+        for key, holding in server.holdings.items()
+        if holding.item_bytes >= missing_bytes
+        and (rank := _rank_of_leaving(world, server, key, holding)) is not None
+    ]
+    if not fitting:
+        return None
+    model = min(fitting)[1]
+    adapters = (key for key in world.items[model].adapters if key in server.holdings)
+    return Eviction((*adapters, model), 0.0)
+
+
+def _rank_of_leaving(
+    world: World, server: ServerState, key: ItemKey, holding: Holding
+) -> int | None:
+    """Return which copies leave first, 0 before 1; None for those that stay.
+
+    Several copies of a model that nobody asked for yet were put there by somebody who expects that.
+    """
+    item = world.items.get(key)
+    if item is None or item.kind is not ItemKind.MODEL or item.waiting or item.min_replicas:
+        return None
+    is_free = holding.state is HoldingState.LOADED and holding.move is None
+    if not is_free or world.running_on(server, key):
+        return None
+    if item.demand.profile is not None:
+        return 2 if item.serving > max(item.wanted, 1) else None
+    if item.serving > 1:
+        return None
+    return 0 if holding.fetched_ahead else 1
+
+
+def _load(world: World, item: ItemRow, server: ServerState, eviction: Eviction, now: float) -> None:
+    add_load_moves(world, item, MoveReason.PREFETCH, Choice(server, eviction), now)
--- a/src/zincvale/controlplane/placement/servers.py
+++ b/src/zincvale/controlplane/placement/servers.py
@@ -40,6 +40,7 @@
     since : when the state began.
     closing : nodes were told to send nothing new.
     move : the move that loads or unloads it.
+    fetched_ahead : loaded so that the server has it on disk, not for requests.
     contrary_since : arrival of the first status that contradicts the order; see `settle`.
     """
 
@@ -51,6 +52,7 @@
     counted_as: CountedAs = CountedAs.NOTHING
     move: MoveId | None = None
     contrary_since: float | None = None
+    fetched_ahead: bool = False
 
 
 @attrs.define(eq=False)
--- a/src/zincvale/controlplane/placement/stores.py
+++ b/src/zincvale/controlplane/placement/stores.py
@@ -128,6 +128,11 @@
         in_window = self.max_concurrent_loads + math.ceil(rate * max(0.0, self.window_s - quiet_s))
         self._begun.extend([now] * max(0, min(most, in_window)))
 
+    def begun(self, now: float) -> int:
+        """Return how many loads began in the window that ends now."""
+        self._window_left(now)
+        return len(self._begun)
+
     def _window_left(self, now: float) -> bool:
         """Whether one more load may begin in the window that ends now."""
         while self._begun and self._begun[0] <= now - self.window_s:
--- a/src/zincvale/controlplane/placement/world.py
+++ b/src/zincvale/controlplane/placement/world.py
@@ -16,6 +16,7 @@
 from zincvale.controlplane.placement.items import ItemKey, ItemKind, ItemRow, is_adapter_key
 from zincvale.controlplane.placement.load_times import LoadTimes
 from zincvale.controlplane.placement.moves import Move
+from zincvale.controlplane.placement.prefetch_state import PrefetchState
 from zincvale.controlplane.placement.servers import CountedAs, Holding, HoldingState, ServerState
 from zincvale.controlplane.placement.stores import StoreState
 from zincvale.model.identifiers import (
@@ -77,6 +78,7 @@
     review_timers : heap of (time, item).
     shortages : per store, heap of (urgency, rank, stamp, item); old stamps are skipped.
     server_by_address : servers in the directory.
+    prefetches : what is known of fetching ahead, by pool.
     watched : servers whose next status matters (orders in flight, or not settled).
     undeclared : copies that no resource declares, with the time they were found.
     unplaced : wanted items for which no server was found; looked at again when
@@ -105,6 +107,7 @@
     drain_by_server: dict[ServerId, MoveId] = attrs.field(factory=dict)
     load_times: LoadTimes = attrs.field(factory=LoadTimes)
     disk_copies: DiskCopies = attrs.field(factory=DiskCopies)
+    prefetches: dict[PoolName, PrefetchState] = attrs.field(factory=dict)
     server_by_address: dict[Address, ServerId] = attrs.field(factory=dict)
     servers_by_pool: dict[PoolName, dict[ServerId, None]] = attrs.field(factory=dict)
     servers_by_zone: dict[ZoneName, dict[ServerId, None]] = attrs.field(factory=dict)
@@ -199,13 +202,20 @@
             return False
         return self.disk_copies.has(item.key, server.address)
 
+    def is_on_disk(self, item: ItemRow) -> bool:
+        """Whether a server in the directory has the item's weights on its own disk."""
+        addresses = self.disk_copies.addresses(item.key)
+        return any(address in self.server_by_address for address in addresses)
+
     def expected_load_s(self, item: ItemRow, server: ServerState | None = None) -> float:
         """Return how long a load of the item takes, on a server or on any that never held it."""
         if server is not None and self.loads_from_disk(item, server):
             return self._expected_from_disk_s(item)
         server_id = server.server if server is not None else None
         rate = self._store_rate(item)
-        return self.load_times.expected_s(item.key, item.weight_bytes, server_id, item.store, rate)
+        return self.load_times.expected_s(
+            item.key, item.weight_bytes, server_id, item.store, rate, item.declared_load_s
+        )
 
     def expected_return_s(self, item: ItemRow) -> float:
         """Return how long it takes to load the item again where it was held before."""
@@ -215,7 +225,9 @@
 
     def _expected_from_disk_s(self, item: ItemRow) -> float:
         rate = self._store_rate(item)
-        return self.load_times.expected_from_disk_s(item.weight_bytes, item.store, rate)
+        return self.load_times.expected_from_disk_s(
+            item.weight_bytes, item.store, rate, item.declared_load_s
+        )
 
     def _store_rate(self, item: ItemRow) -> int:
         store = self.stores.get(item.store)
--- a/src/zincvale/model/resources.py
+++ b/src/zincvale/model/resources.py
@@ -96,6 +96,8 @@
     kv_bytes_per_token: int = 1024
     min_replicas: int = 0
     stake: Stake = Stake.NORMAL
+    load_s: float = 0.0
+    """How long a load from the store should take; 0 when nothing is declared."""
 
 
 @dataclass
