Placement: log what tells apart the hypotheses of a load beyond room

Cause: logs could not tell whether a server's replicas are counted wrongly although its status shows them (H1), a repeat of an order is executed as a new one (H2), or a replica without a declared size is counted (H3). Change: events 5025 placement.uncounted-replicas and 5026 placement.undeclared-replica at the leader, and 1009 order.repeat-executed.

--- a/src/zincvale/controlplane/placement/apply_status.py
+++ b/src/zincvale/controlplane/placement/apply_status.py
@@ -57,6 +57,7 @@
     _apply_row(placement, server, row)
     _apply_replicas(placement, server, report, now)
     if report.is_from_server:
+        _log_uncounted_replicas(placement, server, row)
         confirm_no_stale_orders(placement, server, report.requested_at, now)
 
 
@@ -159,6 +160,20 @@
         placement.free_memory.mark_stale(server)
 
 
+def _log_uncounted_replicas(placement: PlacementState, server: ServerState, row: ServerRow) -> None:
+    if not placement.leadership.is_leader:
+        return
+    listed = (*map(model_key, row.models), *map(adapter_key, row.adapters))
+    uncounted = sorted(key for key in listed if key not in server.replicas)
+    if uncounted:
+        placement.log(
+            log_events.UNCOUNTED_REPLICAS,
+            server=server.server,
+            names=uncounted,
+            counted=len(server.replicas),
+        )
+
+
 def _compare_replicas(
     placement: PlacementState, server: ServerState, report: StatusReport, now: float
 ) -> None:
@@ -212,6 +227,8 @@
     if item is None:
         placement.undeclared.add(key, server.server, placement.config.undeclared_grace_s, now)
         placement.add_replica(server, key, Replica(state, 0, 0, now))
+        if placement.leadership.is_leader:
+            placement.log(log_events.UNDECLARED_REPLICA, server=server.server, name=key)
         return
     replica = Replica(state, item.weight_bytes, item.kv_bytes, now)
     placement.add_replica(server, key, replica)
--- a/src/zincvale/controlplane/placement/log_events.py
+++ b/src/zincvale/controlplane/placement/log_events.py
@@ -42,3 +42,13 @@
 DRAIN_DONE = declare(
     5024, "placement.drain-done", "Everything wanted from a drained server runs elsewhere."
 )
+UNCOUNTED_REPLICAS = declare(
+    5025,
+    "placement.uncounted-replicas",
+    "A defect: a server's own status lists replicas that this process does not count.",
+)
+UNDECLARED_REPLICA = declare(
+    5026,
+    "placement.undeclared-replica",
+    "The leader found a replica that no resource declares; its size is not known.",
+)
--- a/src/zincvale/daemons/placement_runner.py
+++ b/src/zincvale/daemons/placement_runner.py
@@ -221,6 +221,14 @@
                 return
             if reply not in (OrderRefusal.BUSY, OrderReply.ACCEPTED):
                 break
+            if reply is OrderReply.ACCEPTED:
+                log(
+                    log_events.REPEAT_EXECUTED,
+                    order_id=order.order_id,
+                    server=effect.server,
+                    action=order.action.value,
+                    name=order.name,
+                )
             await gen.sleep(interval_s)
             interval_s = min(MAX_CONFIRM_INTERVAL_S, interval_s * CONFIRM_BACKOFF_FACTOR)
         self._clear_active_order(effect.server, order)
