Placement: failing test of a load beyond room after another leader restored the listed replicas

Callers see: a server with room for two models holds two and is ordered to load a third (LIMIT). Orders change the tables without a status; when another leader then brings the server back to the earlier list, the next own status is not compared, and the server is confirmed with a count below the truth. Evidence: the test fails on this code: [] != [('server-1', 'c')].

--- /dev/null
+++ b/tests/controlplane/placement/test_listing_after_orders.py
@@ -0,0 +1,63 @@
+"""A server's status against tables that orders changed since the last status."""
+
+from __future__ import annotations
+
+import testtools
+
+from tests.controlplane.placement.driver import GB, Driver, loads_in, make_intent, make_row
+from zincvale.controlplane.placement.events import (
+    LeaderGained,
+    LeaderLost,
+    OrderAccepted,
+    OrderAction,
+    SendOrder,
+)
+from zincvale.daemons.forwarding_placement import placement_config
+
+QUIET_S = 3.0
+TAKEOVER_S = 6.0
+MEMORY_BYTES = 40 * GB
+MODEL_GB = 15
+
+
+def two_model_server() -> Driver:
+    """Return a server with room for two of four models, which holds `a` and `b`."""
+    intent = make_intent(dict.fromkeys(("a", "b", "c", "d"), MODEL_GB))
+    row = make_row("server-1", memory_bytes=MEMORY_BYTES, models=frozenset(("a", "b")))
+    return Driver(intent, {"server-1": row}, placement_config(QUIET_S))
+
+
+def take_over(driver: Driver, epoch: int) -> None:
+    """Lead until every server is confirmed by its own status."""
+    driver.feed(LeaderGained(epoch, driver.now + 2.0))
+    for _ in range(round(TAKEOVER_S)):
+        driver.tick(1.0)
+        driver.report()
+
+
+def order_sent(driver: Driver, action: OrderAction) -> SendOrder:
+    """Return the first order of the kind, while requests wait for `c`."""
+    for _ in range(50):
+        driver.demand(("c", None, 0, 1))
+        for effect in driver.tick(0.1):
+            if isinstance(effect, SendOrder) and effect.order.action is action:
+                return effect
+    raise AssertionError(f"no {action.value} was ordered")
+
+
+class RestoredListingTest(testtools.TestCase):
+    def test_no_load_beyond_room_after_another_leader_restored_what_was_listed(self) -> None:
+        driver = two_model_server()
+        take_over(driver, epoch=1)
+        unload = order_sent(driver, OrderAction.UNLOAD)
+        driver.feed(LeaderLost())
+        driver.feed(OrderAccepted(unload.order.order_id, done=True))
+        # The next leader loads the model back: the server lists what it listed before.
+        driver.tick(20.0, renew=False)
+        seen = len(driver.seen)
+        take_over(driver, epoch=3)
+        driver.demand(("c", None, 0, 1))
+        driver.tick(0.2)
+        self.assertEqual([], loads_in(driver.seen[seen:]))
+        held = driver.controller.state.servers["server-1"].replicas
+        self.assertEqual({"model/a", "model/b"}, set(held))
