Placement: a server's count of orders against this process's tells a repeat that was executed

Change: 1009 is order.count-differs now: a status shows another number of accepted orders than was counted.

--- a/src/zincvale/daemons/placement_runner.py
+++ b/src/zincvale/daemons/placement_runner.py
@@ -221,14 +221,6 @@
                 return
             if reply not in (OrderRefusal.BUSY, OrderReply.ACCEPTED):
                 break
-            if reply is OrderReply.ACCEPTED:
-                log(
-                    log_events.REPEAT_EXECUTED,
-                    order_id=order.order_id,
-                    server=effect.server,
-                    action=order.action.value,
-                    name=order.name,
-                )
             await gen.sleep(interval_s)
             interval_s = min(MAX_CONFIRM_INTERVAL_S, interval_s * CONFIRM_BACKOFF_FACTOR)
         self._clear_active_order(effect.server, order)
@@ -279,9 +271,21 @@
             # be taken either: the next order would pass as if the result of that one were known.
             return
         if reading.sequence is not None:
-            self._sequences[effect.server] = reading.sequence
+            self._record_sequence(effect.server, reading.sequence)
         self.feed(DirectoryChanged((_report(reading, own, requested_at),)))
 
+    def _record_sequence(self, server: ServerId, sequence: int) -> None:
+        counted = self._sequences.get(server, sequence)
+        if counted != sequence:
+            log(
+                log_events.ORDER_COUNT_DIFFERS,
+                server=server,
+                counted=counted,
+                reported=sequence,
+                epoch=self.epoch,
+            )
+        self._sequences[server] = sequence
+
     def _active_order(self, server: ServerId) -> Order | None:
         """Return the order that this process gave the server under its present lease.
 
--- a/src/zincvale/runtime/log_events.py
+++ b/src/zincvale/runtime/log_events.py
@@ -22,8 +22,8 @@
 INTENT_UNREADABLE = declare(
     1008, "intent.unreadable", "A delivered intent cannot be read; the last one stays in use."
 )
-REPEAT_EXECUTED = declare(
+ORDER_COUNT_DIFFERS = declare(
     1009,
-    "order.repeat-executed",
-    "A server executed the repeat of an order, sent to learn its end, as a new order.",
+    "order.count-differs",
+    "A server has accepted another number of orders than this process counted there.",
 )
