Forwarding core: what the list of servers tells placement is a module of its own

Cause: a soak of orders needs the same filter of listed rows as the core process has. Change: daemons/listed_reports.py, taken out of forwarding_core.py unchanged. Conclusion: the soak and the core share one piece of code.

--- a/src/zincvale/daemons/forwarding_core.py
+++ b/src/zincvale/daemons/forwarding_core.py
@@ -30,6 +30,7 @@
 from zincvale.daemons.discovery_runner import DiscoveryRunner
 from zincvale.daemons.forwarding_dialects import ForwardingDialects
 from zincvale.daemons.forwarding_placement import placement_config
+from zincvale.daemons.listed_reports import listed_reports
 from zincvale.daemons.order_spans import OrderSpans
 from zincvale.daemons.placement_leadership import PlacementLeadership
 from zincvale.daemons.placement_runner import PlacementRunner
@@ -37,7 +38,7 @@
 from zincvale.daemons.residency_publisher import ResidencyPublisher
 from zincvale.daemons.roles import PLACEMENT_ROLE
 from zincvale.daemons.unreachable_servers import UnreachableServers
-from zincvale.model.control_tables import ServerHealth, ServerRow
+from zincvale.model.control_tables import ServerHealth
 from zincvale.model.errors import ZincvaleError
 from zincvale.model.identifiers import MemberId, ServerId
 from zincvale.model.machine import ShutdownRequested, Tick
@@ -180,16 +181,10 @@
 
     def _on_servers_observed(self, observed: ServersObserved) -> None:
         """Feed placement; a confirmed server's replicas change only by our orders."""
-        reports = tuple(
-            StatusReport(
-                _as_down_if_draining(row),
-                self._lower_bound_of_observation(observed.requested_at),
-                frozenset(),
-                is_from_server=False,
-            )
-            for row in observed.rows
-            if row.draining
-            or not (self._is_confirmed(row.server) or row.server in self._unreachable)
+        reports = listed_reports(
+            observed,
+            self._lower_bound_of_observation(observed.requested_at),
+            lambda server: self._is_confirmed(server) or server in self._unreachable,
         )
         for server in observed.removed:
             self._unreachable.remove(server)
@@ -284,10 +279,3 @@
     def _may_stop(self) -> bool:
         now = self._core.clock()
         return now - self._shutdown_started_at >= HANDOVER_S and self._core.machine.may_stop(now)
-
-
-def _as_down_if_draining(row: ServerRow) -> ServerRow:
-    """Return a row as placement takes it: a server that is about to leave gets no loads."""
-    if not row.draining:
-        return row
-    return attrs.evolve(row, health=ServerHealth.DOWN)
