Soak of orders: real controllers and runners over many changes of leader, with a failing seed

Cause: chaos.py gives both controllers every status; no test let a core lead, lose the lease, stay alive and lead again with the tunables and the order runner of a forwarding deployment.

--- /dev/null
+++ b/tests/daemons/test_order_soak.py
@@ -0,0 +1,32 @@
+"""Rules of servers' orders over many changes of leader, documents and demand, in virtual time."""
+
+from __future__ import annotations
+
+import testtools
+
+from tests.daemons.order_soak import OrderSoak
+
+SEEDS = (*range(1, 21), 271)
+RUN_S = 150.0
+MIN_ORDERS = 60
+MIN_LEADERS = 8
+UNCOUNTED_REPLICAS = 5025
+
+
+class OrderSoakTest(testtools.TestCase):
+    def test_no_order_breaks_a_servers_limit_or_comes_from_a_deposed_leader(self) -> None:
+        for seed in SEEDS:
+            soak = OrderSoak(seed)
+            soak.run(RUN_S)
+            self.assertEqual([], soak.problems, f"seed {seed}")
+            self.assertEqual(0, soak.events[UNCOUNTED_REPLICAS], f"seed {seed}")
+            self.assertGreater(soak.orders_taken(), MIN_ORDERS, f"seed {seed}")
+            self.assertGreater(soak.leaders_changed, MIN_LEADERS, f"seed {seed}")
+
+    def test_equal_seeds_give_equal_runs(self) -> None:
+        runs = []
+        for _ in range(2):
+            soak = OrderSoak(5)
+            soak.run(40.0)
+            runs.append((soak.events, soak.orders_taken(), soak.leaders_changed))
+        self.assertEqual(runs[0], runs[1])
