Placement: a status is compared again once orders changed the replicas since the last one

Cause: apply_status skips the comparison when a status lists what the last compared status listed. The skip took the tables to be what that comparison left, but orders change them without a status: an unload is learned by its own response. When another leader then brings the server back to the earlier list, this process passes the next status over, takes its number of orders, confirms the server and orders by a count that lacks a replica. Change: every change of a server's replicas (PlacementState.add_replica, remove_replica, set_state) forgets the compared listing, so that the next status is compared. Why it works: the skip is taken only while the tables are what the last comparison left.

--- a/src/zincvale/controlplane/placement/apply_status.py
+++ b/src/zincvale/controlplane/placement/apply_status.py
@@ -152,8 +152,8 @@
     row = report.row
     listing = (row.models, row.adapters, row.loading, report.unloading)
     if listing != server.listing or placement.calendar.by_server.get(server.server):
-        server.listing = listing
         _compare_replicas(placement, server, report, now)
+        server.listing = listing
     unexplained = max(row.used_bytes - server.listed_bytes, 0)
     if unexplained != server.unexplained_bytes:
         server.unexplained_bytes = unexplained
--- a/src/zincvale/controlplane/placement/state.py
+++ b/src/zincvale/controlplane/placement/state.py
@@ -166,6 +166,7 @@
     ) -> None:
         """Change what a server does with an item."""
         replica.state = state
+        server.listing = None
         self._record_disk_copy(server, key, replica)
         self.recount(server, key, replica)
 
@@ -217,6 +218,7 @@
     def add_replica(self, server: ServerState, key: ItemKey, replica: Replica) -> None:
         """Count an item in the server's memory."""
         server.replicas[key] = replica
+        server.listing = None
         self._record_disk_copy(server, key, replica)
         server.reserved_adapters += is_adapter_key(key)
         server.reserved_bytes += replica.item_bytes
@@ -231,6 +233,7 @@
     def remove_replica(self, server: ServerState, key: ItemKey) -> None:
         """Take an item out of the server's memory: it was observed to be gone."""
         replica = server.replicas.pop(key)
+        server.listing = None
         server.reserved_adapters -= is_adapter_key(key)
         server.reserved_bytes -= replica.item_bytes
         server.reserved_kv_bytes -= replica.kv_bytes
