Placement: repeats of an order carry the server's count of orders

Callers see: a load beyond room (LIMIT), if a repeat arrives late: the leader freezes while the connection of a repeat comes up, another leader unloads that model and fills the room, the first thaws and its repeat is sent. A conditional write whose repetition drops the condition. Change: repeats carry the number that the order itself left. A server that refuses them as busy for a second and reports that it executes nothing (it restarted under the same name, or another leader ordered) ends the wait at once: the order is unknown and its status tells. Why it works: a repeat is executed only while no other order was, and then it is the same order.

--- a/src/zincvale/daemons/placement_runner.py
+++ b/src/zincvale/daemons/placement_runner.py
@@ -49,7 +49,7 @@
 from zincvale.daemons.topic_publisher import TopicPublisher
 from zincvale.model.control_tables import ServerRow
 from zincvale.model.errors import MalformedBodyError
-from zincvale.model.identifiers import ServerId
+from zincvale.model.identifiers import Address, ServerId
 from zincvale.model.machine import Log
 from zincvale.runtime import log_events
 from zincvale.runtime.logs import log
@@ -67,6 +67,8 @@
 MAX_CONFIRM_INTERVAL_S = 0.06
 """Bounds how late completion is noticed."""
 CONFIRM_BACKOFF_FACTOR = 1.5
+BUSY_CHECK_INTERVAL_S = 1.0
+"""Above the lag of a report: one requested so long after an order shows whether it is executed."""
 CONFIRM_TIMEOUT_S = 30.0
 """After it the order is unconfirmed, and only a status of the server tells its result."""
 
@@ -166,9 +168,11 @@
             self.feed(OrderRefused(order.order_id, OrderRefusal.WITHHELD))
             return
         self._active_orders[effect.server] = order
-        reply = await self._post_order(effect, row, self._sequences.get(effect.server))
-        if reply is OrderReply.ACCEPTED and effect.server in self._sequences:
-            self._sequences[effect.server] += 1
+        sequence = self._sequences.get(effect.server)
+        reply = await self._post_order(effect, row, sequence)
+        if reply is OrderReply.ACCEPTED and sequence is not None:
+            sequence += 1
+            self._sequences[effect.server] = sequence
         if reply is not OrderReply.ACCEPTED:
             self._clear_active_order(effect.server, order)
         self._feed_reply(order, reply)
@@ -177,7 +181,7 @@
         if reply is OrderRefusal.BUSY and self._orders.confirms_by_repeating:
             await self._request_status(RequestStatus(effect.server, effect.address))
         if reply is OrderReply.ACCEPTED and self._orders.confirms_by_repeating:
-            await self._confirm_by_repeating(effect, row)
+            await self._confirm_by_repeating(effect, row, sequence)
 
     async def _post_order(
         self, effect: SendOrder, row: ServerRow, sequence: int | None
@@ -203,17 +207,24 @@
             case OrderRefusal():
                 self.feed(OrderRefused(order.order_id, reply))
 
-    async def _confirm_by_repeating(self, effect: SendOrder, row: ServerRow) -> None:
-        """Repeat an order until the server says that it is completed: its own reports lag."""
+    async def _confirm_by_repeating(
+        self, effect: SendOrder, row: ServerRow, sequence: int | None
+    ) -> None:
+        """Repeat an order until the server says that it is completed: its own reports lag.
+
+        The repeats carry the sequence that the order itself left, so that one which arrives after
+        another leader's orders is refused.
+        """
         order = effect.order
         started_at = self._clock()
         await gen.sleep(self._first_check_s(order))
         interval_s = MIN_CONFIRM_INTERVAL_S
+        busy_checked_at = started_at
         while self._clock() - started_at < CONFIRM_TIMEOUT_S:
             if not self._publisher.guard.may_act(order.epoch):
                 self._clear_active_order(effect.server, order)
                 return
-            reply = await self._post_order(effect, row, None)
+            reply = await self._post_order(effect, row, sequence)
             if reply is OrderReply.COMPLETED:
                 self._durations.record_completion(order, self._clock() - started_at)
                 self._clear_active_order(effect.server, order)
@@ -221,11 +232,26 @@
                 return
             if reply not in (OrderRefusal.BUSY, OrderReply.ACCEPTED):
                 break
+            if (
+                reply is OrderRefusal.BUSY
+                and self._clock() >= busy_checked_at + BUSY_CHECK_INTERVAL_S
+            ):
+                busy_checked_at = self._clock()
+                if await self._is_idle(effect):
+                    break
             await gen.sleep(interval_s)
             interval_s = min(MAX_CONFIRM_INTERVAL_S, interval_s * CONFIRM_BACKOFF_FACTOR)
         self._clear_active_order(effect.server, order)
         self.feed(OrderUnknown(order.order_id))
 
+    async def _is_idle(self, effect: SendOrder) -> bool:
+        """Whether the server reports that it executes nothing: it refuses for another reason."""
+        row = self._find_row(effect.server)
+        if row is None:
+            return True
+        reading = self._read(row, await self._fetch_status(effect.address, row))
+        return reading is not None and not reading.is_busy
+
     def _clear_active_order(self, server: ServerId, order: Order) -> None:
         """Record that `order` is not executed, as far as this process knows; a later one may be."""
         if self._active_orders.get(server) is order:
@@ -255,10 +281,7 @@
         if row is None:
             return
         requested_at = self._clock()
-        call = self._orders.status_call(row)
-        result = await self._fetcher.call(
-            effect.address, "GET", call.path, None, call.headers, STATUS_TIMEOUT_S
-        )
+        result = await self._fetch_status(effect.address, row)
         reading = self._read(row, result)
         if not result.status:
             self._on_reachability(effect.server, False)
@@ -274,6 +297,12 @@
             self._record_sequence(effect.server, reading.sequence)
         self.feed(DirectoryChanged((_report(reading, own, requested_at),)))
 
+    async def _fetch_status(self, address: Address, row: ServerRow) -> FetchResult:
+        call = self._orders.status_call(row)
+        return await self._fetcher.call(
+            address, "GET", call.path, None, call.headers, STATUS_TIMEOUT_S
+        )
+
     def _record_sequence(self, server: ServerId, sequence: int) -> None:
         counted = self._sequences.get(server, sequence)
         if counted != sequence:
--- a/tests/daemons/order_servers.py
+++ b/tests/daemons/order_servers.py
@@ -80,6 +80,13 @@
         """Begin a new incarnation that holds `models`."""
         self.incarnations += 1
         self.instance = f"i-{self.slot}-{self.incarnations}"
+        self._begin(models)
+
+    def restart_empty(self) -> None:
+        """Forget everything in memory under the same name, as some servers do."""
+        self._begin([])
+
+    def _begin(self, models: list[str]) -> None:
         self.held = {model: set() for model in models}
         self.on_disk.update(models)
         self.work = None
@@ -88,10 +95,13 @@
         self._snapshots.clear()
         self._record()
 
-    def crash(self, down_s: float) -> None:
-        """Go down and come back empty as another instance."""
+    def crash(self, down_s: float, *, keeps_instance: bool = False) -> None:
+        """Go down and come back empty, as another instance or under the same name."""
         self.down_until = self.clock() + down_s
-        self.start([])
+        if keeps_instance:
+            self.restart_empty()
+        else:
+            self.start([])
 
     @property
     def is_down(self) -> bool:
--- a/tests/daemons/test_placement_runner.py
+++ b/tests/daemons/test_placement_runner.py
@@ -213,5 +213,5 @@
         fixture.send()
         fixture.statuses = [412]
         fixture.send(not_after=200.0)
-        self.assertEqual(["/orders/7", "/orders/None", "/orders/8"], [p for _, p in fixture.called])
+        self.assertEqual(["/orders/7", "/orders/8", "/orders/8"], [p for _, p in fixture.called])
         self.assertEqual(OrderRefused("o1", OrderRefusal.STALE_EPOCH), fixture.fed[-1])
