Placement: a listing that was applied in part is not taken as compared

Callers see: 421 at a server that is published as holding a model which it no longer holds, until its next order. A status from before the end of a load does not remove the replica, rightly; but its listing was remembered as compared, and a later status with the same listing, after another leader had unloaded the model, was passed over: the replica stayed counted. Change: a listing is remembered only while the replicas are exactly what it showed. Why it works: the skip needs tables that equal the listing, at both ends of the comparison.

--- a/src/zincvale/controlplane/placement/apply_status.py
+++ b/src/zincvale/controlplane/placement/apply_status.py
@@ -152,8 +152,8 @@
     row = report.row
     listing = (row.models, row.adapters, row.loading, report.unloading)
     if listing != server.listing or placement.calendar.by_server.get(server.server):
-        _compare_replicas(placement, server, report, now)
-        server.listing = listing
+        agrees = _compare_replicas(placement, server, report, now)
+        server.listing = listing if agrees else None
     unexplained = max(row.used_bytes - server.listed_bytes, 0)
     if unexplained != server.unexplained_bytes:
         server.unexplained_bytes = unexplained
@@ -176,7 +176,8 @@
 
 def _compare_replicas(
     placement: PlacementState, server: ServerState, report: StatusReport, now: float
-) -> None:
+) -> bool:
+    """Bring the replicas to what the status shows; return whether they are exactly that now."""
     reported = _reported_states(placement, report)
     for key, state in reported.items():
         replica = server.replicas.get(key)
@@ -190,6 +191,7 @@
             _apply_unreported(placement, server, key, report.requested_at, now)
     listed = [server.replicas[key] for key in reported if key in server.replicas]
     server.listed_bytes = sum(replica.item_bytes for replica in listed)
+    return len(server.replicas) == len(listed) == len(reported)
 
 
 def _reported_states(
--- a/src/zincvale/controlplane/placement/servers.py
+++ b/src/zincvale/controlplane/placement/servers.py
@@ -77,8 +77,8 @@
     planned_bytes, planned_kv_bytes : loads planned but not ordered.
     planned_models : loads of models planned but not ordered.
     planned_free_bytes : planned unloads, still counted in `reserved_bytes`.
-    listing : names of the newest status, to skip a status that lists the same; None once the
-        replicas changed since.
+    listing : names of the newest status, to skip a status that lists the same; None when the
+        replicas are not, or no longer, what that status showed.
     listed_bytes : weights of what the newest status lists.
     unexplained_bytes : memory it reports in use beyond the weights that it lists.
     loads_in_flight : loads ordered and not seen over.
--- a/tests/controlplane/placement/test_listing_after_orders.py
+++ b/tests/controlplane/placement/test_listing_after_orders.py
@@ -61,3 +61,23 @@
         self.assertEqual([], loads_in(driver.seen[seen:]))
         held = driver.controller.state.servers["server-1"].replicas
         self.assertEqual({"model/a", "model/b"}, set(held))
+
+
+class LaggingStatusTest(testtools.TestCase):
+    def test_a_replica_that_left_is_not_counted_after_a_status_from_before_its_load(self) -> None:
+        driver = two_model_server()
+        driver.rows["server-1"] = make_row(
+            "server-1", memory_bytes=MEMORY_BYTES, models=frozenset(("a",))
+        )
+        take_over(driver, epoch=1)
+        load = order_sent(driver, OrderAction.LOAD)
+        driver.feed(OrderAccepted(load.order.order_id, done=True))
+        driver.report(requested_at=driver.now - 0.1)
+        held = driver.controller.state.servers["server-1"].replicas
+        self.assertEqual({"model/a", "model/c"}, set(held))
+        driver.feed(LeaderLost())
+        # Another leader unloads it again.
+        driver.tick(10.0, renew=False)
+        driver.feed(LeaderGained(3, driver.now + 2.0))
+        driver.report()
+        self.assertEqual({"model/a"}, set(held))
