Nodes: a stop counts from before a freeze during which it was signalled

Callers see: a stream that a stopping node began is cut in the middle, when the node's machine stood still while SIGTERM came: it noticed the signal at its thaw, began streams for 3 s from then, and was killed by a grace time that counts from the signal. Cause: limits of a stop were counted from when the process noticed the signal, not from when it was sent. Change: the signal handler takes the time at which the process last ran, before any turn of the loop reads the clock again; new streams, other new requests and the refusal of pending requests count from there. When the node ends by itself still counts from the notice: cutting streams earlier would help nobody.

--- a/src/zincvale/daemons/forwarding_core.py
+++ b/src/zincvale/daemons/forwarding_core.py
@@ -271,7 +271,7 @@
         live_cores = [self._member, *self._core.machine.live_cores(now)]
         return reader_rank(self._member, leader, live_cores)
 
-    def _start_shutdown(self) -> None:
+    def _start_shutdown(self, _not_before: float) -> None:
         """Hand over ownership and leadership; a stand-in takes the vote, if there is one."""
         self._shutdown_started_at = self._core.clock()
         self._core.process.driver.submit(ShutdownRequested())
--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -73,6 +73,7 @@
         self._is_demand_report_scheduled = False
         self._was_ready = False
         self._drain_started_at = 0.0
+        self._told_to_stop_at = 0.0
         self._drain_limit_s = max(LAME_DUCK_S, forwarding.grace_s - GRACE_MARGIN_S)
         options = NodeOptions(
             topics=TOPICS,
@@ -206,16 +207,17 @@
         near = [row.member for row in rows if row.role is Role.CORE and row.zone == self._node.zone]
         return min(near, default=cores[0] if cores else None)
 
-    def _start_draining(self) -> None:
+    def _start_draining(self, not_before: float) -> None:
         self._drain_started_at = self._node.clock()
-        self._service.start_draining()
+        self._told_to_stop_at = not_before
+        self._service.start_draining(not_before)
         self._node.tracing.leave()
 
     def _is_drained(self) -> bool:
-        draining_s = self._node.clock() - self._drain_started_at
-        if draining_s >= self._drain_limit_s - FINAL_REFUSALS_S:
+        now = self._node.clock()
+        if now - self._told_to_stop_at >= self._drain_limit_s - FINAL_REFUSALS_S:
             self._service.reject_pending()
-        noticed = draining_s >= LAME_DUCK_S
+        noticed = now - self._drain_started_at >= LAME_DUCK_S
         return noticed and not self._service.active_requests
 
 
--- a/src/zincvale/daemons/node_daemon.py
+++ b/src/zincvale/daemons/node_daemon.py
@@ -172,7 +172,7 @@
             if row.role is Role.CORE:
                 self._node.process.peers.send(member, report)
 
-    def _start_draining(self) -> None:
+    def _start_draining(self, _not_before: float) -> None:
         self._drain_started_at = self._node.clock()
         self._service.start_draining()
         self._node.tracing.leave()
--- a/src/zincvale/daemons/process.py
+++ b/src/zincvale/daemons/process.py
@@ -34,14 +34,20 @@
 
 @attrs.frozen
 class Drain:
-    """How a daemon drains: `begin`, then serve on until `is_done` or `limit_s` have passed."""
+    """How a daemon drains: `begin`, then serve on until `is_done` or `limit_s` have passed.
 
-    begin: Callable[[], None]
+    Attributes
+    ----------
+    begin : called with a time that the signal certainly did not come before. A process that stood
+        still notices it late, and whoever sent it counts from when it was sent.
+    """
+
+    begin: Callable[[float], None]
     is_done: Callable[[], bool]
     limit_s: float
 
 
-NO_DRAIN = Drain(lambda: None, lambda: True, 0.0)
+NO_DRAIN = Drain(lambda _not_before: None, lambda: True, 0.0)
 
 
 def _no_reload() -> None:
@@ -93,7 +99,7 @@
         _tune_garbage_collector()
 
         def on_signal(_number: int, _frame: Any) -> None:
-            loop.add_callback_from_signal(self._begin_drain, drain)
+            loop.add_callback_from_signal(self._begin_drain, drain, self.driver.last_ran_at)
 
         def on_hang_up(_number: int, _frame: Any) -> None:
             loop.add_callback_from_signal(self.on_reload)
@@ -113,9 +119,9 @@
         for server in self._http_servers:
             server.stop()
 
-    def _begin_drain(self, drain: Drain) -> None:
+    def _begin_drain(self, drain: Drain, not_before: float) -> None:
         log(log_events.DAEMON_STOPPING)
-        drain.begin()
+        drain.begin(not_before)
         self._stop_when_drained(drain, self._clock() + drain.limit_s)
 
     def _stop_when_drained(self, drain: Drain, drain_deadline: float) -> None:
--- a/src/zincvale/dataplane/forwarding/service.py
+++ b/src/zincvale/dataplane/forwarding/service.py
@@ -150,10 +150,15 @@
 
     # --- stopping -------------------------------------------------------------------------
 
-    def start_draining(self) -> None:
-        """Become unready; requests are accepted while they can end before the process does."""
+    def start_draining(self, not_before: float) -> None:
+        """Become unready; requests are accepted while they can end before the process does.
+
+        Parameters
+        ----------
+        not_before : the process certainly was not told to stop before this time.
+        """
         self.is_draining = True
-        self._draining_since = self._clock()
+        self._draining_since = not_before
 
     def reject_pending(self) -> None:
         """Refuse every request that was not sent: its caller may retry at another node."""
--- a/src/zincvale/runtime/driver.py
+++ b/src/zincvale/runtime/driver.py
@@ -104,6 +104,11 @@
         """Stop the periodic tick."""
         self._ticker.stop()
 
+    @property
+    def last_ran_at(self) -> float:
+        """When an input was last fed: the process was certainly running then."""
+        return self._last_reading
+
     def submit(self, event: Input) -> None:
         """Feed one input; its effects are executed before this returns.
 
--- a/tests/dataplane/forwarding/test_service.py
+++ b/tests/dataplane/forwarding/test_service.py
@@ -241,7 +241,7 @@
     def test_a_draining_node_begins_nothing_it_cannot_end(self):
         async def scenario():
             node = Node()
-            node.service.start_draining()
+            node.service.start_draining(node.now)
             node.ask("/stream/x")
             node.now += NEW_STREAMS_ALLOWED_S
             self.assertEqual(503, node.ask("/stream/x")[1].log[0][0])
@@ -254,6 +254,17 @@
 
         run(scenario)
 
+    def test_a_node_that_noticed_its_stop_late_begins_no_stream_it_cannot_end(self):
+        async def scenario():
+            node = Node()
+            told_to_stop_at = node.now
+            node.now += NEW_STREAMS_ALLOWED_S
+            node.service.start_draining(told_to_stop_at)
+            self.assertEqual(503, node.ask("/stream/x")[1].log[0][0])
+            self.assertEqual([], node.client.sent)
+
+        run(scenario)
+
     def test_pending_requests_are_refused_at_the_end(self):
         async def scenario():
             node = Node(known=False)
