Soak of orders: leaders freeze between the check of their lease and the write of an order

Cause: the late repeat of an order (H2) had a directed test only; the soak's cores froze at drawn times, and never within the few milliseconds in which a connection comes up.

--- a/tests/daemons/order_soak.py
+++ b/tests/daemons/order_soak.py
@@ -66,6 +66,10 @@
 LONGEST_ONE_WAY_S = 0.004
 NEW_CONNECTION_SHARE = 0.1
 POLL_S = 0.02
+FREEZE_AT_SEND_SHARE = 0.05
+"""Of orders on new connections."""
+SAME_NAME_SHARE = 0.5
+"""Of restarts after a crash."""
 
 ACTING: contextvars.ContextVar[Core] = contextvars.ContextVar("acting core")
 
@@ -201,6 +205,8 @@
             if not await soak.link_is_up(self, address, deadline):
                 return FetchResult(0, connected=False)
             await asyncio.sleep(soak.one_way_s())
+            if body is not None and soak.freezes_at_sends:
+                soak.freeze_at_send(self)
             await self.awake()
             server = soak.by_address.get(address)
             if server is None or server.is_down:
@@ -241,9 +247,16 @@
 
 
 class OrderSoak:
-    """Runs one seed; `problems` holds every rule that an order broke."""
+    """Runs one seed; `problems` holds every rule that an order broke.
 
-    def __init__(self, seed: int) -> None:
+    Parameters
+    ----------
+    freezes_at_sends : leaders also freeze between the check of their lease and the write of an
+        order whose connection comes up, and servers restart under the same name.
+    """
+
+    def __init__(self, seed: int, *, freezes_at_sends: bool = False) -> None:
+        self.freezes_at_sends = freezes_at_sends
         self.random = random.Random(seed)
         self.loop = VirtualLoop()
         self.loop.set_exception_handler(self._on_failed_step)
@@ -474,10 +487,17 @@
             if self.random.random() < probability:
                 trouble()
 
+    def freeze_at_send(self, core: Core) -> None:
+        """Let the core freeze at times: what it is about to write leaves when it thaws."""
+        if self.random.random() < FREEZE_AT_SEND_SHARE and core.is_awake:
+            self._freeze(core)
+
     def _freeze_leader(self) -> None:
         core = self.lease.holder or self.cores[0]
-        if not core.is_awake:
-            return
+        if core.is_awake:
+            self._freeze(core)
+
+    def _freeze(self, core: Core) -> None:
         core.frozen_until = self.clock() + self.random.uniform(0.5, 9.0)
         if core is self.lease.holder:
             # The jump of its clock makes the process drop its lease when it wakes.
@@ -507,7 +527,8 @@
     def _crash_server(self) -> None:
         server = self.by_address[self.random.choice(sorted(self.by_address))]
         down_s = self.random.uniform(0.5, 4.0)
-        server.crash(down_s)
+        keeps_instance = self.freezes_at_sends and self.random.random() < SAME_NAME_SHARE
+        server.crash(down_s, keeps_instance=keeps_instance)
         self.loop.call_later(2.0, self.listed.pop, server.address, None)
         self.loop.call_later(max(2.0, down_s) + LIST_LAG_S, self._list, server)
 
--- a/tests/daemons/test_order_soak.py
+++ b/tests/daemons/test_order_soak.py
@@ -7,6 +7,7 @@
 from tests.daemons.order_soak import OrderSoak
 
 SEEDS = (*range(1, 21), 271)
+SEEDS_WITH_FREEZES_AT_SENDS = (8, 20, 30, 31, 47, 51, 62, 88, 89)
 RUN_S = 150.0
 MIN_ORDERS_A_RUN = 100
 """In the mean over all seeds, so that the soak cannot pass by ordering nothing."""
@@ -26,6 +27,13 @@
             self.assertGreater(soak.leaders_changed, MIN_LEADERS, f"seed {seed}")
         self.assertGreater(orders / len(SEEDS), MIN_ORDERS_A_RUN)
 
+    def test_no_order_that_a_frozen_leader_sends_late_is_executed(self) -> None:
+        for seed in SEEDS_WITH_FREEZES_AT_SENDS:
+            soak = OrderSoak(seed, freezes_at_sends=True)
+            soak.run(RUN_S)
+            self.assertEqual([], soak.problems, f"seed {seed}")
+            self.assertEqual(0, soak.events[UNCOUNTED_REPLICAS], f"seed {seed}")
+
     def test_equal_seeds_give_equal_runs(self) -> None:
         runs = []
         for _ in range(2):
