Nodes: a stopping node begins no stream that lately took longer than it has left

Cause: a stopping node began streams for a fixed 3 s and ended 7.4 s after the signal, whatever streams of the route take. Under load they take longer than the 4.4 s that are left. Change: a node keeps the longest complete response of each route over the last 30 to 60 s, and begins a request while it stops only if one and a half times that still fits; the limits of 3 and 5.5 s stay as the most. test_a_draining_node_begins_no_stream_that_lately_took_longer_than_it_has_left failed before: the node began it. Why it works: what is refused has not run and is sent to another node at once; what is begun has time to end. A stream that takes longer than any lately seen at the node can still be cut.

--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -210,7 +210,7 @@
     def _start_draining(self, not_before: float) -> None:
         self._drain_started_at = self._node.clock()
         self._told_to_stop_at = not_before
-        self._service.start_draining(not_before)
+        self._service.start_draining(not_before, self._drain_limit_s)
         self._node.tracing.leave()
 
     def _is_drained(self) -> bool:
--- a/src/zincvale/dataplane/forwarding/forwarded_request.py
+++ b/src/zincvale/dataplane/forwarding/forwarded_request.py
@@ -378,5 +378,9 @@
         elif effect.reason:
             self._span.set("reason", effect.reason)
         self._span.end()
+        if effect.kind is RequestOutcome.ANSWERED:
+            now = self._context.clock()
+            took_s = now - self._incoming.read_at
+            self._context.response_times.record(self._route.name, took_s, now)
         self._context.counts[effect.kind] += 1
         self._context.active.discard(self)
--- a/src/zincvale/dataplane/forwarding/node_context.py
+++ b/src/zincvale/dataplane/forwarding/node_context.py
@@ -21,6 +21,7 @@
     ServerChoice,
 )
 from zincvale.dataplane.forwarding.request_events import RequestOutcome
+from zincvale.dataplane.forwarding.response_times import ResponseTimes
 from zincvale.dataplane.forwarding.routing_state import RoutingState
 from zincvale.dataplane.forwarding.servers import adapter_name
 from zincvale.dataplane.inference.dependencies import Spans
@@ -60,6 +61,7 @@
         self.pending = PendingRequestQueue(routing.pool)
         self.demand = DemandTable()
         self.active: set[object] = set()
+        self.response_times = ResponseTimes()
         self.counts: Counter[RequestOutcome] = Counter()
         self._unreachable: set[ServerId] = set()
         self._chain = chain
--- a/src/zincvale/dataplane/forwarding/service.py
+++ b/src/zincvale/dataplane/forwarding/service.py
@@ -30,9 +30,11 @@
 NO_DOCUMENT_RETRY_AFTER_S = 0.5
 STOPPING_RETRY_AFTER_S = 0.1
 NEW_STREAMS_ALLOWED_S = 3.0
-"""How long a draining node still begins streams: later ones might outlive the process."""
+"""How long a draining node begins streams at most: later ones might outlive the process."""
 NEW_REQUESTS_ALLOWED_S = 5.5
-"""How long a draining node still begins other requests."""
+"""How long a draining node begins other requests at most."""
+LONGEST_RESPONSE_FACTOR = 1.5
+"""On the longest response of a route: one node sees few of the route's requests."""
 CONFIGURATION_WAIT_S = 1.5
 """How long a started node that has no configuration yet defers a request."""
 
@@ -78,6 +80,7 @@
         self._clock = clock
         self.is_draining = False
         self._draining_since = 0.0
+        self._ends_at = 0.0
         self._deferred: list[_DeferredRequest] = []
         self.context = ForwardingContext(
             routing=RoutingState(config.zone, config.member, config.fleet_limits),
@@ -150,15 +153,17 @@
 
     # --- stopping -------------------------------------------------------------------------
 
-    def start_draining(self, not_before: float) -> None:
+    def start_draining(self, not_before: float, limit_s: float) -> None:
         """Become unready; requests are accepted while they can end before the process does.
 
         Parameters
         ----------
         not_before : the process certainly was not told to stop before this time.
+        limit_s : the process ends no later than this after it was told to stop.
         """
         self.is_draining = True
         self._draining_since = not_before
+        self._ends_at = not_before + limit_s
 
     def reject_pending(self) -> None:
         """Refuse every request that was not sent: its caller may retry at another node."""
@@ -171,13 +176,18 @@
         """Whether a response might not end before the process does."""
         if not self.is_draining:
             return False
+        now = self._clock()
         allowed_s = NEW_STREAMS_ALLOWED_S if route.streaming else NEW_REQUESTS_ALLOWED_S
-        return self._clock() - self._draining_since >= allowed_s
+        if now - self._draining_since >= allowed_s:
+            return True
+        longest_s = self.context.response_times.longest_s(route.name, now)
+        return now + longest_s * LONGEST_RESPONSE_FACTOR >= self._ends_at
 
     # --- updates from the control plane -----------------------------------------------------
 
     def apply_document(self, document: ForwardingDocument) -> None:
         """Apply a newer document: requests that are sent later follow it."""
+        self.context.response_times.keep_only(document.routes)
         if self.routing.apply_document(document, self._clock()):
             self.context.dispatch_pending()
             self._begin_deferred()
--- a/tests/dataplane/forwarding/test_service.py
+++ b/tests/dataplane/forwarding/test_service.py
@@ -19,6 +19,7 @@
 from zincvale.dataplane.forwarding.native_dialect import NativeDialect
 from zincvale.dataplane.forwarding.request_events import RequestOutcome
 from zincvale.dataplane.forwarding.service import (
+    LONGEST_RESPONSE_FACTOR,
     NEW_REQUESTS_ALLOWED_S,
     NEW_STREAMS_ALLOWED_S,
     ForwardingConfig,
@@ -28,6 +29,9 @@
 from zincvale.model.identifiers import MemberId, ZoneName
 from zincvale.transport.server_exchange import ResponseHead
 
+LIMIT_S = 7.4
+"""Of a stop."""
+
 
 class Span:
     def __init__(self):
@@ -241,7 +245,7 @@
     def test_a_draining_node_begins_nothing_it_cannot_end(self):
         async def scenario():
             node = Node()
-            node.service.start_draining(node.now)
+            node.service.start_draining(node.now, LIMIT_S)
             node.ask("/stream/x")
             node.now += NEW_STREAMS_ALLOWED_S
             self.assertEqual(503, node.ask("/stream/x")[1].log[0][0])
@@ -259,12 +263,27 @@
             node = Node()
             told_to_stop_at = node.now
             node.now += NEW_STREAMS_ALLOWED_S
-            node.service.start_draining(told_to_stop_at)
+            node.service.start_draining(told_to_stop_at, LIMIT_S)
             self.assertEqual(503, node.ask("/stream/x")[1].log[0][0])
             self.assertEqual([], node.client.sent)
 
         run(scenario)
 
+    def test_a_draining_node_begins_no_stream_that_lately_took_longer_than_it_has_left(self):
+        async def scenario():
+            node = Node()
+            node.service.context.response_times.record("stream", 4.0, node.now)
+            node.service.start_draining(node.now, LIMIT_S)
+            node.now += LIMIT_S - 4.0 * LONGEST_RESPONSE_FACTOR - 0.1
+            node.ask("/stream/x")
+            self.assertEqual(1, len(node.client.sent))
+            node.now += 0.2
+            self.assertLess(node.now, 100.0 + NEW_STREAMS_ALLOWED_S)
+            self.assertEqual(503, node.ask("/stream/x")[1].log[0][0])
+            self.assertEqual(1, len(node.client.sent))
+
+        run(scenario)
+
     def test_pending_requests_are_refused_at_the_end(self):
         async def scenario():
             node = Node(known=False)
