Placement: a status from before an order does not take the server's count of orders back

Callers see: a server gets no order for a second or more after a status that trails behind an order. Cause: reports may be up to 0.6 s older than their response; the count in one from before an accepted order replaced the newer one, and the next order was refused by the server. Change: a status's count is taken only if the status was certainly taken after the last accepted order there. Why it works: until a newer status the count is what this leader's own accepted orders made it, and another leader's order in between still makes the server refuse.

--- a/src/zincvale/daemons/placement_runner.py
+++ b/src/zincvale/daemons/placement_runner.py
@@ -114,6 +114,7 @@
     epoch: int = 0
     _publications: Queue[PublishTopic] = attrs.field(factory=Queue)
     _sequences: dict[ServerId, int] = attrs.field(factory=dict)
+    _accepted_at: dict[ServerId, float] = attrs.field(factory=dict)
     _active_orders: dict[ServerId, Order] = attrs.field(factory=dict)
     _durations: OrderDurations = attrs.field(factory=OrderDurations)
 
@@ -173,6 +174,7 @@
         if reply is OrderReply.ACCEPTED and sequence is not None:
             sequence += 1
             self._sequences[effect.server] = sequence
+            self._accepted_at[effect.server] = self._clock()
         if reply is not OrderReply.ACCEPTED:
             self._clear_active_order(effect.server, order)
         self._feed_reply(order, reply)
@@ -293,7 +295,9 @@
             # Another leader's order is executed: this status proves nothing. Its sequence must not
             # be taken either: the next order would pass as if the result of that one were known.
             return
-        if reading.sequence is not None:
+        taken_at = requested_at - reading.age_s
+        is_newer = taken_at >= self._accepted_at.get(effect.server, taken_at)
+        if reading.sequence is not None and is_newer:
             self._record_sequence(effect.server, reading.sequence)
         self.feed(DirectoryChanged((_report(reading, own, requested_at),)))
 
--- a/tests/daemons/test_placement_runner.py
+++ b/tests/daemons/test_placement_runner.py
@@ -33,6 +33,7 @@
 from zincvale.daemons.server_orders import HttpCall, OrderReply, StatusReading
 
 LOAD_S = 0.8
+REPORT_AGE_S = 2.0
 REPLIES = {
     200: OrderReply.COMPLETED,
     202: OrderReply.ACCEPTED,
@@ -104,9 +105,9 @@
             asyncio.run(self.runner._send_order(effect))
         return self
 
-    def request_status(self, is_busy: bool, sequence: int) -> None:
+    def request_status(self, is_busy: bool, sequence: int, age_s: float = 0.0) -> None:
         self.orders.reading = StatusReading(
-            make_row("server-1"), frozenset(), 0.0, is_busy, sequence
+            make_row("server-1"), frozenset(), age_s, is_busy, sequence
         )
         asyncio.run(self.runner._request_status(RequestStatus("server-1", "10.0.0.1:9000")))
 
@@ -132,6 +133,18 @@
         self.assertEqual(1, len(fixture.fed))
         self.assertEqual({}, fixture.runner._active_orders)
 
+    def test_a_status_from_before_an_order_does_not_take_its_count_back(self) -> None:
+        fixture = RunnerFixture(200)
+        fixture.request_status(is_busy=False, sequence=7)
+        fixture.now += 5.0
+        fixture.statuses = [202, 200]
+        fixture.send(not_after=200.0)
+        fixture.request_status(is_busy=False, sequence=7, age_s=REPORT_AGE_S)
+        self.assertEqual(8, fixture.runner._sequences["server-1"])
+        fixture.now += REPORT_AGE_S
+        fixture.request_status(is_busy=False, sequence=9, age_s=REPORT_AGE_S)
+        self.assertEqual(9, fixture.runner._sequences["server-1"])
+
 
 class OrderTest(testtools.TestCase):
     def test_an_order_is_repeated_about_when_it_should_be_completed(self) -> None:
