Daemons: one application without an access log

Cause: _ignore_request stood in three modules, and without_access_log in a module of nodes. Conclusion: one piece of code.

--- a/src/zincvale/daemons/core_assembly.py
+++ b/src/zincvale/daemons/core_assembly.py
@@ -10,11 +10,10 @@
 import random
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Protocol
 
 import attrs
 from tornado.ioloop import PeriodicCallback
-from tornado.web import Application
 
 from zincvale.coordination.changes import Reducer
 from zincvale.coordination.config import CoreConfig, InitialCore, Timings
@@ -23,6 +22,7 @@
 from zincvale.daemons.control_api_handler import ControlApiServer, OperatorApi
 from zincvale.daemons.core_view import LocalCoreView
 from zincvale.daemons.disk_setup import open_disk
+from zincvale.daemons.http_application import without_access_log
 from zincvale.daemons.http_fetch import HttpFetcher
 from zincvale.daemons.leadership_guard import LeadershipGuard
 from zincvale.daemons.placement_runner import PlacementRunner
@@ -134,7 +134,7 @@
 
     def run(self, placement: PlacementRunner, drain: Drain) -> None:
         """Serve until SIGTERM or SIGINT, then drain; raises `StartupError`."""
-        self.process.listen(Application(self.api.routes(), log_function=_ignore_request))
+        self.process.listen(without_access_log(self.api.routes()))
         placement.start()
         self._ticker.start()
         self.process.run(drain)
@@ -208,7 +208,3 @@
     )
     process.router.add_service("tracing", service.handle_message)
     return service
-
-
-def _ignore_request(handler: Any) -> None:
-    """Write no access log: requests are recorded as traces."""
--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -14,7 +14,8 @@
 from zincvale.coordination.changes import ChangeNotifications
 from zincvale.coordination.config import Timings
 from zincvale.coordination.replication.replica_sets import INTENT_KEY
-from zincvale.daemons.node_assembly import NodeAssembly, NodeOptions, without_access_log
+from zincvale.daemons.http_application import without_access_log
+from zincvale.daemons.node_assembly import NodeAssembly, NodeOptions
 from zincvale.daemons.process import Drain
 from zincvale.daemons.residency_row_codec import RESIDENCY_TOPIC, ResidencyDecoder
 from zincvale.dataplane.forwarding.dialect import ForwardingDialect
--- a/src/zincvale/daemons/node_assembly.py
+++ b/src/zincvale/daemons/node_assembly.py
@@ -8,11 +8,10 @@
 from __future__ import annotations
 
 import random
-from typing import Any, Protocol
+from typing import Protocol
 
 import attrs
 from tornado.ioloop import PeriodicCallback
-from tornado.web import Application
 
 from zincvale.coordination.changes import ChangeNotifications
 from zincvale.coordination.config import NodeConfig, Timings
@@ -134,12 +133,3 @@
         topics=options.topics,
         timings=options.timings,
     )
-
-
-def without_access_log(routes: list[Any]) -> Application:
-    """Return the HTTP application of `routes`; requests are recorded as traces, not in a log."""
-    return Application(routes, log_function=_ignore_request)
-
-
-def _ignore_request(handler: Any) -> None:
-    """Write no access log."""
--- a/src/zincvale/daemons/node_daemon.py
+++ b/src/zincvale/daemons/node_daemon.py
@@ -8,7 +8,8 @@
 from zincvale.coordination.changes import ChangeNotifications
 from zincvale.coordination.replication.replica_sets import INTENT_KEY, REGISTRY_KEY
 from zincvale.daemons.draining_replicas import with_draining
-from zincvale.daemons.node_assembly import NodeAssembly, NodeOptions, without_access_log
+from zincvale.daemons.http_application import without_access_log
+from zincvale.daemons.node_assembly import NodeAssembly, NodeOptions
 from zincvale.daemons.process import Drain
 from zincvale.daemons.registry_rows import registered_zones
 from zincvale.dataplane.claims.service import ClaimService
--- a/src/zincvale/daemons/standby_daemon.py
+++ b/src/zincvale/daemons/standby_daemon.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import random
-from typing import Any
 
 from tornado.web import Application, RequestHandler
 
 from zincvale.coordination.core.standby_machine import StandbyConfig, StandbyMachine
+from zincvale.daemons.http_application import without_access_log
 from zincvale.daemons.process import NO_DRAIN, build_process
 from zincvale.model.identifiers import Address, MemberId, ZoneName
 from zincvale.runtime.clock import suspend_aware_now
@@ -55,7 +55,7 @@
 def operator_application(machine: StandbyMachine) -> Application:
     """Return the HTTP application that redirects operators to a core."""
     routes = [(r"/.*", RedirectHandler, {"machine": machine})]
-    return Application(routes, log_function=_ignore_request)
+    return without_access_log(routes)
 
 
 class RedirectHandler(RequestHandler):
@@ -79,7 +79,3 @@
 
 def _after_input() -> None:
     """A standby has no views that follow its machine."""
-
-
-def _ignore_request(handler: Any) -> None:
-    """Write no access log."""
