Placement: counts of servers' orders are a class of their own

Change: daemons/order_counts.py with the rule that a status from before an accepted order is not taken, and departed servers are forgotten. Conclusion: no decision changes but for servers that left and come back, whose count is read again first.

--- a/src/zincvale/daemons/placement_runner.py
+++ b/src/zincvale/daemons/placement_runner.py
@@ -38,6 +38,7 @@
 from zincvale.controlplane.placement.move_row_codec import topic_rows
 from zincvale.coordination.delivery.messages import PublishTopic
 from zincvale.daemons.http_fetch import FetchResult, HttpFetcher
+from zincvale.daemons.order_counts import OrderCounts
 from zincvale.daemons.order_durations import OrderDurations
 from zincvale.daemons.order_spans import OrderSpans
 from zincvale.daemons.server_orders import (
@@ -113,8 +114,7 @@
     _on_reachability: Callable[[ServerId, bool], None] = lambda _server, _reached: None
     epoch: int = 0
     _publications: Queue[PublishTopic] = attrs.field(factory=Queue)
-    _sequences: dict[ServerId, int] = attrs.field(factory=dict)
-    _accepted_at: dict[ServerId, float] = attrs.field(factory=dict)
+    _order_counts: OrderCounts = attrs.field(factory=OrderCounts)
     _active_orders: dict[ServerId, Order] = attrs.field(factory=dict)
     _durations: OrderDurations = attrs.field(factory=OrderDurations)
 
@@ -124,6 +124,9 @@
 
     def feed(self, event: Input) -> None:
         """Apply one input and execute its effects."""
+        if isinstance(event, DirectoryChanged):
+            for server in event.departed:
+                self._order_counts.remove(server)
         for effect in self._controller.handle(event, self._clock()):
             self._execute(effect)
 
@@ -169,12 +172,11 @@
             self.feed(OrderRefused(order.order_id, OrderRefusal.WITHHELD))
             return
         self._active_orders[effect.server] = order
-        sequence = self._sequences.get(effect.server)
+        sequence = self._order_counts.of(effect.server)
         reply = await self._post_order(effect, row, sequence)
         if reply is OrderReply.ACCEPTED and sequence is not None:
             sequence += 1
-            self._sequences[effect.server] = sequence
-            self._accepted_at[effect.server] = self._clock()
+            self._order_counts.record_accepted(effect.server, sequence, self._clock())
         if reply is not OrderReply.ACCEPTED:
             self._clear_active_order(effect.server, order)
         self._feed_reply(order, reply)
@@ -295,10 +297,9 @@
             # Another leader's order is executed: this status proves nothing. Its sequence must not
             # be taken either: the next order would pass as if the result of that one were known.
             return
-        taken_at = requested_at - reading.age_s
-        is_newer = taken_at >= self._accepted_at.get(effect.server, taken_at)
-        if reading.sequence is not None and is_newer:
-            self._record_sequence(effect.server, reading.sequence)
+        if reading.sequence is not None:
+            taken_at = requested_at - reading.age_s
+            self._order_counts.record_status(effect.server, reading.sequence, taken_at)
         self.feed(DirectoryChanged((_report(reading, own, requested_at),)))
 
     async def _fetch_status(self, address: Address, row: ServerRow) -> FetchResult:
@@ -307,18 +308,6 @@
             address, "GET", call.path, None, call.headers, STATUS_TIMEOUT_S
         )
 
-    def _record_sequence(self, server: ServerId, sequence: int) -> None:
-        counted = self._sequences.get(server, sequence)
-        if counted != sequence:
-            log(
-                log_events.ORDER_COUNT_DIFFERS,
-                server=server,
-                counted=counted,
-                reported=sequence,
-                epoch=self.epoch,
-            )
-        self._sequences[server] = sequence
-
     def _active_order(self, server: ServerId) -> Order | None:
         """Return the order that this process gave the server under its present lease.
 
--- a/tests/daemons/order_soak.py
+++ b/tests/daemons/order_soak.py
@@ -296,6 +296,7 @@
         with (
             mock.patch("zincvale.daemons.placement_runner.gen.sleep", sleep_as_core),
             mock.patch("zincvale.daemons.placement_runner.log", self._on_log),
+            mock.patch("zincvale.daemons.order_counts.log", self._on_log),
             mock.patch("tornado.ioloop.app_log.error", self._on_failed_callback),
         ):
             self.loop.run_until(seconds)
--- a/tests/daemons/test_placement_runner.py
+++ b/tests/daemons/test_placement_runner.py
@@ -121,7 +121,7 @@
         self.assertEqual(
             1, len([each for each in fixture.fed if isinstance(each, DirectoryChanged)])
         )
-        self.assertEqual(4, fixture.runner._sequences["server-1"])
+        self.assertEqual(4, fixture.runner._order_counts.of("server-1"))
 
     def test_an_order_of_an_earlier_lease_does_not_explain_a_busy_server(self) -> None:
         fixture = RunnerFixture(200)
@@ -140,10 +140,10 @@
         fixture.statuses = [202, 200]
         fixture.send(not_after=200.0)
         fixture.request_status(is_busy=False, sequence=7, age_s=REPORT_AGE_S)
-        self.assertEqual(8, fixture.runner._sequences["server-1"])
+        self.assertEqual(8, fixture.runner._order_counts.of("server-1"))
         fixture.now += REPORT_AGE_S
         fixture.request_status(is_busy=False, sequence=9, age_s=REPORT_AGE_S)
-        self.assertEqual(9, fixture.runner._sequences["server-1"])
+        self.assertEqual(9, fixture.runner._order_counts.of("server-1"))
 
 
 class OrderTest(testtools.TestCase):
@@ -222,7 +222,7 @@
 
     def test_each_accepted_order_raises_the_sequence_of_the_next_one(self) -> None:
         fixture = RunnerFixture(202, 200)
-        fixture.runner._sequences["server-1"] = 7
+        fixture.runner._order_counts.record_accepted("server-1", 7, 0.0)
         fixture.send()
         fixture.statuses = [412]
         fixture.send(not_after=200.0)
--- a/tests/daemons/test_repeated_orders.py
+++ b/tests/daemons/test_repeated_orders.py
@@ -62,7 +62,7 @@
             PlatformOrders(),
             "core-1",
         )
-        self.runner._sequences["server-1"] = 0
+        self.runner._order_counts.record_accepted("server-1", 0, 0.0)
 
     def handle(self, event: object, _now: float) -> list[object]:
         self.fed.append(event)
