Placement: a server that moves to another pool gets that pool's limit of adapters

Callers see: a server is ordered to load more adapters than it holds beside each other (LIMIT), after its row names another pool. Cause: the incident's class, a derived value that one of its sources changes without refreshing it: the limit was set when a server was added and when a pool changed, not when a server changed pools. Change: _move_server sets it. Evidence: test_a_server_that_moves_to_another_pool_gets_no_more_adapters_than_that_pool_allows failed before (3 not less than or equal to 2); golden digests untouched. Why it works: the limit follows the pool on all three ways by which either changes.

--- a/src/zincvale/controlplane/placement/apply_status.py
+++ b/src/zincvale/controlplane/placement/apply_status.py
@@ -144,6 +144,7 @@
     placement.server_index.add_to_pool_and_zone(server)
     placement.free_memory.mark_stale(server)
     refresh_service(placement, server)
+    set_adapter_slots(placement, server)
 
 
 def _apply_replicas(
--- a/tests/controlplane/placement/test_options.py
+++ b/tests/controlplane/placement/test_options.py
@@ -104,6 +104,28 @@
             loads_within(driver, 1.0)
         return sum("base" in row.models for row in driver.rows.values())
 
+    def test_a_server_that_moves_to_another_pool_gets_no_more_adapters_than_that_pool_allows(self):
+        driver = driver_of(
+            SHORT_DAY,
+            {"base": 8},
+            servers=1,
+            adapters=dict.fromkeys(self.ADAPTERS, "base"),
+            resident=("base",),
+        )
+        pools = {
+            "other": PoolSpec(max_concurrent_per_server=16, adapter_slots=8),
+            "chat": PoolSpec(max_concurrent_per_server=16, adapter_slots=2),
+        }
+        driver.feed(IntentChanged(attrs.evolve(driver.intent, version=2, pools=pools)))
+        driver.report(pool="other")
+        driver.report(pool="chat")
+        driver.lead()
+        for _ in range(4):
+            driver.demand(*(("base", name, 1, 1) for name in self.ADAPTERS))
+            loads_within(driver, 0.3)
+            self.assertLessEqual(len(driver.rows["server-1"].adapters), 2)
+        self.assertEqual(2, len(driver.rows["server-1"].adapters))
+
     def test_adapters_that_do_not_fit_bring_another_replica(self):
         self.assertEqual(2, self.replicas(adapters_add_replicas=True))
 
