Nodes: a poll goes to the core that knows newer versions, and not back to an isolated one

Callers see: 404 by an outdated configuration over two seconds after a change was acknowledged (CONFIG), at nodes whose zone's core is cut off from the other cores. Cause: a poll that lags is given up for the core that knows newer versions, but the next tick chose again among the cores of the node's own zone, as long as one of them had responded within 1.8 s: so back to the core that lags. And a core that says that it hears no majority was polled again each second, for the same reason. Change: a poll that is directed to a core goes there; it is given up only when that core is unresponsive, not because it is of another zone. A core that said it hears no majority is polled for 3 s only if no other responds. Why it works: what is behind or isolated no longer wins because it is near.

--- a/src/zincvale/coordination/delivery/long_poll_client.py
+++ b/src/zincvale/coordination/delivery/long_poll_client.py
@@ -31,6 +31,8 @@
 arrives would fill the link."""
 ISOLATED_RETRY_S = 1.0
 """Before the next poll when the host said that it hears no majority of the cores."""
+ISOLATED_AVOIDED_S = 3.0
+"""So long such a host is polled only if there is no other one."""
 
 
 class LongPollClient:
@@ -49,6 +51,9 @@
         self._token = ""
         self._count = 0
         self._host: MemberId | None = None
+        self._is_directed = False
+        """The next poll goes to `_host`, whichever hosts are preferred."""
+        self._isolated_until: dict[MemberId, float] = {}
         self._retry_at = 0.0
         self._behind_since: float | None = None
         self._max_behind_s = RETRY_S
@@ -66,8 +71,9 @@
         """Return the call of a new poll, to one of `hosts`, when none is under way."""
         if self._token or now < self._retry_at or not hosts:
             return []
-        if self._host not in hosts:
+        if self._host is None or (self._host not in hosts and not self._is_directed):
             self._host = self._random.choice(hosts)
+        self._is_directed = False
         self._count += 1
         self._token = f"{POLL_PREFIX}{self._count}"
         poll = Poll(
@@ -86,7 +92,7 @@
             return False
         self._token = ""
         if response.is_isolated:
-            self._leave_host(now + ISOLATED_RETRY_S)
+            self._avoid_host(now)
         moved = [delta.name for delta in response.keys if self._apply_key(delta)]
         for topic_delta in response.topics:
             if self.topics.apply(topic_delta):
@@ -119,13 +125,24 @@
         if self._token and self._host not in hosts and hosts:
             self.restart(None)
 
+    def without_isolated(self, hosts: list[MemberId], now: float) -> list[MemberId]:
+        """Return the hosts that did not lately say that they hear no majority; all if all did."""
+        usable = [host for host in hosts if now >= self._isolated_until.get(host, now)]
+        return usable or hosts
+
     def restart(self, host: MemberId | None) -> None:
         """Start a new poll with the next tick; the response of the old one is ignored."""
         self._token = ""
         self._host = host
+        self._is_directed = host is not None
         self._retry_at = 0.0
         self._behind_since = None
 
+    def _avoid_host(self, now: float) -> None:
+        if self._host is not None:
+            self._isolated_until[self._host] = now + ISOLATED_AVOIDED_S
+        self._leave_host(now + ISOLATED_RETRY_S)
+
     def _leave_host(self, retry_at: float) -> None:
         self._host = None
         self._retry_at = retry_at
--- a/src/zincvale/coordination/node/machine.py
+++ b/src/zincvale/coordination/node/machine.py
@@ -186,7 +186,7 @@
     def _handle_tick(self, now: float) -> list[Effect]:
         self._poll_server.is_isolated = not self._has_lease(now)
         hosts = self._poll_hosts(now)
-        self._poll_client.leave_unresponsive_host(hosts)
+        self._poll_client.leave_unresponsive_host(self._responsive_cores(now) or hosts)
         effects: list[Effect] = list(self._poll_client.tick(hosts, now))
         if now >= self._renew_at:
             effects.extend(self._renew_through_coordinator(now))
@@ -303,7 +303,7 @@
 
         Cores of the node's own zone come first: what they deliver crosses no zone.
         """
-        responsive = self._responsive_cores(now)
+        responsive = self._poll_client.without_isolated(self._responsive_cores(now), now)
         if responsive:
             return self._lease.in_own_zone(responsive) or responsive
         return (
--- a/tests/coordination/delivery/test_long_poll_client.py
+++ b/tests/coordination/delivery/test_long_poll_client.py
@@ -5,7 +5,11 @@
 from testtools import TestCase
 
 from zincvale.coordination.config import NodeConfig
-from zincvale.coordination.delivery.long_poll_client import MAX_BEHIND_S, LongPollClient
+from zincvale.coordination.delivery.long_poll_client import (
+    ISOLATED_AVOIDED_S,
+    MAX_BEHIND_S,
+    LongPollClient,
+)
 from zincvale.coordination.delivery.messages import PollResponse
 from zincvale.coordination.registers.messages import TableDelta
 
@@ -18,8 +22,8 @@
 
     def setUp(self):
         super().setUp()
-        config = NodeConfig("c", "n1", "i1", "z1", "r", "10.0.0.1:1", "10.0.0.1:2")
-        self.client = LongPollClient(config, ("intent",), random.Random(1))
+        self.config = NodeConfig("c", "n1", "i1", "z1", "r", "10.0.0.1:1", "10.0.0.1:2")
+        self.client = LongPollClient(self.config, ("intent",), random.Random(1))
         self.now = 0.0
         self.polls = list(self.client.tick(HOSTS, self.now))
 
@@ -41,6 +45,26 @@
         gaps = 20.0 / (len(self.polls) - 4)
         self.assertLess(gaps, 2 * MAX_BEHIND_S)
 
+    def test_a_core_that_knows_newer_versions_is_polled_although_another_is_nearer(self):
+        self.client = LongPollClient(self.config, ("intent",), random.Random(1))
+        near, newer = HOSTS
+        (first,) = self.client.tick([near], 0.0)
+        self.assertEqual(near, first.to)
+        self.client.on_newest_versions(newer, {"intent": 5}, 0.5)
+        self.client.on_newest_versions(newer, {"intent": 5}, 1.1)
+        (second,) = self.client.tick([near], 1.1)
+        self.assertEqual(newer, second.to)
+
+    def test_a_core_that_hears_no_majority_is_not_polled_again_at_once(self):
+        (near, other), now = HOSTS, 5.0
+        client = LongPollClient(self.config, ("intent",), random.Random(1))
+        (poll,) = client.tick([near], now)
+        isolated = PollResponse([], [], "", None, is_isolated=True)
+        client.handle_response(poll.token, isolated, now)
+        self.assertEqual([other], client.without_isolated(HOSTS, now + 1.0))
+        self.assertEqual([near], client.without_isolated([near], now + 1.0))
+        self.assertEqual(HOSTS, client.without_isolated(HOSTS, now + ISOLATED_AVOIDED_S + 0.1))
+
     def test_after_it_caught_up_the_first_wait_is_short_again(self):
         self.wait(20.0)
         whole = PollResponse([TableDelta("intent", None, 5, {"row": b"x"}, [])], [], "", None)
