--- a/tests/docs/test_known_failures.py
+++ b/tests/docs/test_known_failures.py
@@ -8,6 +8,8 @@
 
 from tests.known_failures import KNOWN_FAILURES, known_failures, read_known_failures
 
+DAYS = "tests/days/"
+"""Days are played by hand, not by CI."""
 TEXT = """# comment
 tests/a/test_b.py::CTest::test_d
     command: pytest, seed 7
@@ -35,6 +37,11 @@
     def test_every_entry_names_a_test_that_exists_and_says_what_was_seen(self) -> None:
         for test, details in read_known_failures().items():
             path, *names = test.split("::")
+            self.assertTrue((KNOWN_FAILURES.parent / path).exists(), test)
+            self.assertIn("seen:", details, test)
+            self.assertIn("seed", details, test)
+            if path.startswith(DAYS):
+                continue
             tree = ast.parse((KNOWN_FAILURES.parent / path).read_text(encoding="utf-8"))
             defined = {
                 node.name
@@ -42,4 +49,3 @@
                 if isinstance(node, ast.ClassDef | ast.FunctionDef)
             }
             self.assertLessEqual(set(names), defined, test)
-            self.assertIn("seen:", details, test)
