Daemons: a second signal does not begin the stop again

Callers see: a node that is told to stop twice begins streams for 3 s after the second signal, while its end counts from the first. Cause: each SIGTERM or SIGINT began the drain anew; the first one's limit still ended the process. Change: the first signal begins the stop, later ones are ignored. Evidence: test_a_second_signal_does_not_begin_the_stop_again failed before ([100.0] != [100.0, 100.0]). Why it works: the limits of a stop count from one signal.

--- a/src/zincvale/daemons/process.py
+++ b/src/zincvale/daemons/process.py
@@ -71,6 +71,7 @@
     on_reload: Callable[[], None] = _no_reload
     """Called on SIGHUP: the settings file may have changed."""
     _http_servers: list[HTTPServer] = attrs.field(factory=list)
+    _is_stopping: bool = False
 
     def listen(self, api: Application) -> None:
         """Bind both addresses; raises `StartupError`."""
@@ -120,6 +121,9 @@
             server.stop()
 
     def _begin_drain(self, drain: Drain, not_before: float) -> None:
+        if self._is_stopping:
+            return
+        self._is_stopping = True
         log(log_events.DAEMON_STOPPING)
         drain.begin(not_before)
         self._stop_when_drained(drain, self._clock() + drain.limit_s)
