--- a/src/zincvale/coordination/core/components.py
+++ b/src/zincvale/coordination/core/components.py
@@ -78,6 +78,8 @@
             timings, context.values, context.members, context.topics
         )
         self.topic_replicator = TopicReplicator(context, self.long_poll_server)
+        self.logged_grantors = context.replica_sets.grantors()
+        """The replicas that vote, as last logged."""
         self.heartbeats = HeartbeatSender(context, self.owners, self.leader_election.granted_roles)
 
     def is_isolated(self, now: float) -> bool:
--- a/src/zincvale/coordination/core/tick.py
+++ b/src/zincvale/coordination/core/tick.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 
+from zincvale.coordination import log_events
 from zincvale.coordination.core.components import ROLE_PROPOSAL_PREFIX, CoreComponents
 from zincvale.coordination.delivery.rollout import PendingChange
 from zincvale.coordination.registers.change_messages import IN_FORCE, ChangeResult
@@ -20,7 +21,7 @@
     REPLICA_SETS_KEY,
     ROLE_KEY_PREFIX,
 )
-from zincvale.model.machine import Effect
+from zincvale.model.machine import Effect, Log
 
 TickStep = Callable[[CoreComponents, float], list[Effect]]
 
@@ -43,16 +44,42 @@
             tokens = owner.take_abandoned_tokens()
             if tokens:
                 effects.extend(components.proposal_router.reroute(tokens, now))
+    effects.extend(_log_changed_replicas(components))
     effects.extend(components.long_poll_server.respond_if_due(now))
     effects.extend(components.renewal_batcher.forward_if_due(now))
     for key in DELIVERED_KEYS:
-        for change in components.member_leases.applied_versions.take_rolled_out_changes(key):
+        rolled_out = components.member_leases.applied_versions.take_rolled_out_changes(key)
+        if rolled_out:
+            effects.extend(_log_unconfirmed(components, key, rolled_out[-1].version))
+        for change in rolled_out:
             chosen_version = components.context.chosen_version(key)
             result = ChangeResult(IN_FORCE, change.version, chosen_version)
             effects.extend(components.proposal_router.finish(change.token, result, now))
     return effects
 
 
+def _log_changed_replicas(components: CoreComponents) -> list[Effect]:
+    sets = components.context.replica_sets
+    grantors = sets.grantors()
+    if grantors == components.logged_grantors:
+        return []
+    components.logged_grantors = grantors
+    fields = {
+        "version": sets.version,
+        "replicas": grantors.replicas,
+        "previous": grantors.previous,
+    }
+    return [Log(log_events.REPLICAS_CHANGED, fields)]
+
+
+def _log_unconfirmed(components: CoreComponents, key: str, version: int) -> list[Effect]:
+    nodes = components.member_leases.applied_versions.unconfirmed_nodes(key)
+    if not nodes:
+        return []
+    fields = {"key": key, "version": version, "nodes": nodes}
+    return [Log(log_events.NODES_NOT_CONFIRMED, fields)]
+
+
 def _drain_outcomes(
     components: CoreComponents, key: str, owner: RegisterOwner, now: float
 ) -> list[Effect]:
--- a/src/zincvale/coordination/delivery/applied_versions.py
+++ b/src/zincvale/coordination/delivery/applied_versions.py
@@ -51,6 +51,13 @@
         )
         return tracker.update(rules)
 
+    def unconfirmed_nodes(self, key: str) -> list[str]:
+        """Return the registered nodes that have not confirmed the rolled-out version of `key`."""
+        grantors = self._context.replica_sets.grantors()
+        confirmed = self.trackers[key].confirmed_nodes(grantors)
+        registered = {node for nodes in self._quorum_sets() for node in nodes}
+        return sorted(registered - confirmed)
+
     def is_rolled_out(self, key: str) -> bool:
         """Whether the newest chosen version of `key` is rolled out."""
         return self.trackers[key].rolled_out_version >= self._context.chosen_version(key)
--- a/src/zincvale/coordination/delivery/long_poll_client.py
+++ b/src/zincvale/coordination/delivery/long_poll_client.py
@@ -15,6 +15,7 @@
 
 import random
 
+from zincvale.coordination import log_events
 from zincvale.coordination.changes import ChangeNotifications
 from zincvale.coordination.config import NodeConfig
 from zincvale.coordination.core.messages import TopicPosition
@@ -24,7 +25,7 @@
 from zincvale.coordination.delivery.versioned_table import VersionedTable
 from zincvale.coordination.registers.messages import TableDelta
 from zincvale.model.identifiers import MemberId
-from zincvale.model.machine import Call
+from zincvale.model.machine import Call, Log
 
 POLL_TOKEN_PREFIX = "poll:"
 RETRY_DELAY_S = 0.2
@@ -57,6 +58,8 @@
         self._random = random_source
         self._token = ""
         self._call_count = 0
+        self._called_at = 0.0
+        self._logs: list[Log] = []
         self._host: MemberId | None = None
         self._is_host_fixed = False
         """Whether the next poll goes to `_host` even if it is not among the preferred hosts."""
@@ -83,6 +86,7 @@
         self._is_host_fixed = False
         self._call_count += 1
         self._token = f"{POLL_TOKEN_PREFIX}{self._call_count}"
+        self._called_at = now
         poll = Poll(
             keys=self.applied_versions(),
             members_source=self.members_source,
@@ -127,11 +131,13 @@
             self._lagging_since = now
         elif now - self._lagging_since >= self._tolerated_lag_s and host != self._host:
             self._tolerated_lag_s = min(MAX_TOLERATED_LAG_S, 2.0 * self._tolerated_lag_s)
+            self._log_abandoned("it lags behind the newest known version", now)
             self.restart(host)
 
-    def abandon_unresponsive_host(self, hosts: list[MemberId]) -> None:
+    def abandon_unresponsive_host(self, hosts: list[MemberId], now: float) -> None:
         """Abandon a poll in progress whose host is not among the responsive `hosts`."""
         if self._token and self._host not in hosts and hosts:
+            self._log_abandoned("its host is unresponsive", now)
             self.restart(None)
 
     def without_isolated_hosts(self, hosts: list[MemberId], now: float) -> list[MemberId]:
@@ -153,6 +159,17 @@
         self._retry_at = 0.0
         self._lagging_since = None
 
+    def take_logs(self) -> list[Log]:
+        """Remove and return the log events of abandoned polls."""
+        logs, self._logs = self._logs, []
+        return logs
+
+    def _log_abandoned(self, reason: str, now: float) -> None:
+        if self._token:
+            pending_s = round(now - self._called_at, 3)
+            fields = {"host": self._host, "reason": reason, "pending_s": pending_s}
+            self._logs.append(Log(log_events.POLL_ABANDONED, fields))
+
     def _back_off_from_host(self, now: float) -> None:
         if self._host is not None:
             self._isolated_hosts_until[self._host] = now + ISOLATED_HOST_BACKOFF_S
--- a/src/zincvale/coordination/delivery/rollout.py
+++ b/src/zincvale/coordination/delivery/rollout.py
@@ -100,6 +100,15 @@
         ]
         return rolled_out
 
+    def confirmed_nodes(self, grantors: ReplicaConfig) -> set[str]:
+        """Return the nodes that confirmed the rolled-out version to a majority of `grantors`."""
+        reports = {
+            core: report
+            for core, report in self._reports.items()
+            if report.version >= self.rolled_out_version
+        }
+        return _confirmed_nodes(reports, grantors)
+
     def _is_applied_everywhere(self, version: int, rules: QuorumRules) -> bool:
         reports = {
             core: report for core, report in self._reports.items() if report.version >= version
--- a/src/zincvale/coordination/log_events.py
+++ b/src/zincvale/coordination/log_events.py
@@ -40,6 +40,25 @@
     "A version that a node had applied and the replicas had lost was written again.",
 )
 REPLICAS_CHANGED = declare(2013, "replicas.changed", "The declared replica sets changed.")
+RECORD_MOVED = declare(
+    2015, "record.moved", "The record of a key was chosen on other replicas than before."
+)
+CHANGE_NOT_APPLIED = declare(
+    2016,
+    "change.not-applied",
+    "An operator's change was rejected, or not confirmed in time; status says which.",
+)
+NODES_NOT_CONFIRMED = declare(
+    2017,
+    "rollout.nodes-not-confirmed",
+    "A change counts as in force although some registered nodes, which have no live lease, did "
+    "not confirm it.",
+)
+POLL_ABANDONED = declare(
+    2018,
+    "poll.abandoned",
+    "A long poll that got no response was abandoned for another host; reason says why.",
+)
 CORE_STANDS_BY = declare(
     2014,
     "core.stands-by",
--- a/src/zincvale/coordination/node/machine.py
+++ b/src/zincvale/coordination/node/machine.py
@@ -117,6 +117,7 @@
         """Apply one input and return the resulting effects."""
         effects = self._handle_one(event, now)
         effects.extend(self._report_readiness_change(now))
+        effects.extend(self._poll_client.take_logs())
         return effects
 
     def _handle_one(self, event: Input, now: float) -> list[Effect]:
@@ -205,7 +206,7 @@
     def _handle_tick(self, now: float) -> list[Effect]:
         self._poll_server.is_isolated = not self._has_lease(now)
         hosts = self._poll_hosts(now)
-        self._poll_client.abandon_unresponsive_host(self._responsive_cores(now) or hosts)
+        self._poll_client.abandon_unresponsive_host(self._responsive_cores(now) or hosts, now)
         effects: list[Effect] = list(self._poll_client.tick(hosts, now))
         if now >= self._renew_at:
             effects.extend(self._renew_through_coordinator(now))
--- a/src/zincvale/coordination/registers/owner.py
+++ b/src/zincvale/coordination/registers/owner.py
@@ -323,11 +323,11 @@
         if not in_flight.quorum.is_quorum(in_flight.acknowledged):
             return []
         self._in_flight = None
+        effects = self._log_moved_record(self._record.config, in_flight.record.config)
         self._record = in_flight.record
         self._replicas_with_record = in_flight.acknowledged
         self._straggler_push_at = now + STRAGGLER_INTERVAL_S
         self.outcomes.append(NewlyChosen(in_flight.record, in_flight.accepted))
-        effects: list[Effect] = []
         if self._is_restoring:
             self._is_restoring = False
             fields = {"key": self.key, "version": self.chosen_version}
@@ -338,6 +338,17 @@
             effects.append(Log(log_events.OWNER_STARTED, fields))
         return effects + self._write_next(now)
 
+    def _log_moved_record(self, former: ReplicaConfig, chosen: ReplicaConfig) -> list[Effect]:
+        if chosen == former or not (former.replicas or chosen.previous):
+            return []
+        fields = {
+            "key": self.key,
+            "epoch": self.epoch.number,
+            "replicas": chosen.replicas,
+            "previous": chosen.previous,
+        }
+        return [Log(log_events.RECORD_MOVED, fields)]
+
     def _handle_base_missing(self, sender: MemberId, epoch: Epoch) -> list[Effect]:
         if epoch != self.epoch or self.phase is OwnerPhase.FOLLOWING:
             return []
--- a/src/zincvale/coordination/registers/proposal_router.py
+++ b/src/zincvale/coordination/registers/proposal_router.py
@@ -23,8 +23,10 @@
 
 import attrs
 
+from zincvale.coordination import log_events
 from zincvale.coordination.core.context import CoreContext
 from zincvale.coordination.registers.change_messages import (
+    IN_FORCE,
     INVALID,
     NOT_CONFIRMED,
     NOT_OWNER,
@@ -35,7 +37,7 @@
 from zincvale.coordination.registers.owner import RegisterOwner
 from zincvale.coordination.registers.ownership import Ownership
 from zincvale.model.identifiers import MemberId
-from zincvale.model.machine import Call, Effect, Reply
+from zincvale.model.machine import Call, Effect, Log, Reply
 
 FORWARD_PREFIX = "forward:"
 INTERNAL_PREFIX = "internal:"
@@ -135,11 +137,12 @@
 
     def finish(self, token: str, result: ChangeResult, now: float) -> list[Effect]:
         """Send the result of a change to its caller and remove the change."""
-        if self._pending.pop(token, None) is None:
+        pending = self._pending.pop(token, None)
+        if pending is None:
             return []
         if token.startswith(INTERNAL_PREFIX):
             return self._on_internal_result(token.removeprefix(INTERNAL_PREFIX), result, now)
-        return [Reply(token, result)]
+        return [*_log_not_applied(pending, result), Reply(token, result)]
 
     def tick(self, now: float) -> list[Effect]:
         """Route changes that are not routed yet; end those past their deadline."""
@@ -196,3 +199,18 @@
             problem="the change is not confirmed everywhere yet",
             remedy="send the same order again",
         )
+
+
+def _log_not_applied(pending: _PendingProposal, result: ChangeResult) -> list[Effect]:
+    """Log at the core that was called why a change has no effect; a read proposes no change."""
+    proposal = pending.proposal
+    if result.status == IN_FORCE or pending.is_from_other_core or not proposal.change:
+        return []
+    fields = {
+        "key": proposal.key,
+        "idempotency_key": proposal.idempotency_key,
+        "status": result.status,
+        "current_version": result.current_version,
+        "problem": result.problem,
+    }
+    return [Log(log_events.CHANGE_NOT_APPLIED, fields)]
--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -18,10 +18,12 @@
 from zincvale.daemons.node_assembly import NodeAssembly, NodeOptions
 from zincvale.daemons.process import Drain
 from zincvale.daemons.residency_row_codec import RESIDENCY_TOPIC, ResidencyDecoder
+from zincvale.dataplane import log_events as dataplane_log_events
 from zincvale.dataplane.forwarding.dialect import ForwardingDialect
 from zincvale.dataplane.forwarding.fleet_budgets import RetryConfig, SlowStartConfig
 from zincvale.dataplane.forwarding.routing_state import FleetLimits
 from zincvale.dataplane.forwarding.service import ForwardingConfig, ForwardingService
+from zincvale.dataplane.forwarding.unleased_requests import UnleasedRequests
 from zincvale.model.control_tables import Role
 from zincvale.model.errors import ZincvaleError
 from zincvale.model.identifiers import MemberId
@@ -86,6 +88,9 @@
         )
         self._node = NodeAssembly(settings, options, self)
         self.process = self._node.process
+        self._unleased_requests = UnleasedRequests(
+            lambda: self._node.machine.fresh(self._node.clock())
+        )
         self._build_service(dialect)
 
     def run(self) -> None:
@@ -141,6 +146,7 @@
             random=self._node.random,
             clock=self._node.clock,
             on_urgent=self._schedule_demand_report,
+            unleased_requests=self._unleased_requests,
         )
 
     @property
@@ -186,9 +192,22 @@
     def on_tick(self, now: float) -> None:
         """Tick tracing, and report demand when that is due."""
         self._node.tracing.tick(now)
+        self._log_unleased_requests()
         if now >= self._demand_due_at:
             self._report_demand()
 
+    def _log_unleased_requests(self) -> None:
+        period = self._unleased_requests.take_ended_period()
+        if period is not None:
+            log(
+                dataplane_log_events.SERVED_WITHOUT_LEASE,
+                seconds=round(period.until - period.since, 3),
+                requests=period.requests,
+                first_version=period.first_version,
+                last_version=period.last_version,
+                version=self._service.routing.document.version,
+            )
+
     def _schedule_demand_report(self) -> None:
         if not self._is_demand_report_scheduled:
             self._is_demand_report_scheduled = True
--- a/src/zincvale/dataplane/forwarding/service.py
+++ b/src/zincvale/dataplane/forwarding/service.py
@@ -17,6 +17,7 @@
 from zincvale.dataplane.forwarding.policies import PolicyChain, make_scorers
 from zincvale.dataplane.forwarding.routing_state import FleetLimits, RoutingState
 from zincvale.dataplane.forwarding.servers import Residency
+from zincvale.dataplane.forwarding.unleased_requests import UnleasedRequests
 from zincvale.dataplane.inference.dependencies import Spans
 from zincvale.dataplane.messages import DemandReport
 from zincvale.model.control_tables import Directory, Members
@@ -66,6 +67,7 @@
     dialect : reads and writes the headers of callers and servers.
     clock : returns the present time in seconds.
     on_urgent : called when the demand should be reported at once.
+    unleased_requests : counts the requests that begin without a lease.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         random: Random,
         clock: Callable[[], float],
         on_urgent: Callable[[], None],
+        unleased_requests: UnleasedRequests | None = None,
     ) -> None:
         self._member = config.member
         self._clock = clock
@@ -84,6 +87,7 @@
         self._draining_since = 0.0
         self._process_ends_at = 0.0
         self._deferred: list[_DeferredRequest] = []
+        self._unleased_requests = unleased_requests
         self.context = ForwardingContext(
             routing=RoutingState(config.zone, config.member, config.fleet_limits),
             chain=PolicyChain(make_scorers(config.policies)),
@@ -136,6 +140,8 @@
     def begin_request(self, incoming: IncomingRequest, sink: CallerSink) -> ForwardedRequest | None:
         """Begin a request under the current document, or respond to it at once."""
         document = self.routing.document
+        if self._unleased_requests is not None:
+            self._unleased_requests.record_request(document.version, self._clock())
         headers = {name.lower(): value for name, value in incoming.headers}
         path = incoming.target.partition("?")[0]
         route = self.routing.routes.find(headers.get("host", ""), path)
--- a/src/zincvale/dataplane/log_events.py
+++ b/src/zincvale/dataplane/log_events.py
@@ -36,3 +36,9 @@
 DRAINING = declare(
     6008, "dataplane.draining", "The node is draining and reports that it is not ready."
 )
+SERVED_WITHOUT_LEASE = declare(
+    6009,
+    "dataplane.served-without-lease",
+    "The node had no valid lease for a while and began requests by its last document, which may "
+    "be older than one that was acknowledged.",
+)
--- a/src/zincvale/platform/settings_watch.py
+++ b/src/zincvale/platform/settings_watch.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 
 from zincvale.model.errors import ZincvaleError
+from zincvale.runtime import log_events
+from zincvale.runtime.logs import log
 
 
 class SettingsWatch:
@@ -43,4 +45,5 @@
         except ZincvaleError as error:
             print(f"warning: {error}", file=sys.stderr)
             return
+        log(log_events.SETTINGS_RELOADED, seeds=list(seeds))
         self._use_seeds(seeds)
--- a/src/zincvale/runtime/log_events.py
+++ b/src/zincvale/runtime/log_events.py
@@ -36,6 +36,9 @@
     "intent.unreadable",
     "A delivered intent or table is unreadable; the last one stays in use.",
 )
+SETTINGS_RELOADED = declare(
+    1010, "settings.reloaded", "The settings file was read again, after a signal or a change."
+)
 ORDER_COUNT_DIFFERS = declare(
     1009,
     "order.count-differs",
