--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -44,6 +44,8 @@
     """When SIGKILL follows a SIGTERM."""
     last_signal: signal.Signals | None = None
     """The last signal that may end it."""
+    ended_by_itself: bool = False
+    """Whether its last run did; a process that ends by itself counts as running all the time."""
 
     @property
     def name(self) -> str:
@@ -178,6 +180,7 @@
             ProcessEnd(now, process.machine.name, process.role, code, by_rig=by_rig)
         )
         self._history.note(now, "ended", process=process.name, code=code, by_rig=by_rig)
+        process.ended_by_itself = not by_rig
         process.popen = None
         process.stop_by = None
         process.last_signal = None
@@ -192,17 +195,12 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
-                env={
-                    "PATH": os.environ.get("PATH", ""),
-                    "HOME": os.environ.get("HOME", "/"),
-                    "LANG": "C.UTF-8",
-                    "PYTHONPATH": _site_packages(),
-                    "ZINCVALE_CONFIG": str(process.settings),
-                },
+                env=child_environment(process.settings),
                 preexec_fn=_prepare_child,
             )
         self._history.started(process.machine.name, process.role, now)
-        self._disturb(process.machine.name, now)
+        if not process.ended_by_itself:
+            self._disturb(process.machine.name, now)
 
     def may_lose_disk(self, name: str, catch_up_s: float) -> bool:
         """Whether no other core machine counts as lost, nor did within `catch_up_s`."""
@@ -211,10 +209,9 @@
             machine = self._history.machine(spec.name)
             if spec.name == name:
                 continue
-            core_starts = machine.starts.get("core", [])
-            last = max([*core_starts, *machine.disturbances])
-            is_running = any(each.role == "core" for each in self._running(spec.name))
-            if spec.name in self._frozen or not is_running or now - last < catch_up_s:
+            last = max(machine.disturbances)
+            is_down = spec.name in self._frozen or spec.name in self._dark
+            if is_down or now - last < catch_up_s:
                 return False
         return True
 
@@ -305,6 +302,17 @@
         self._history.disturbed(name, now, is_core=spec is not None and spec.has_disk)
 
 
+def child_environment(settings: Path) -> dict[str, str]:
+    """Return the environment variables that a process gets."""
+    return {
+        "PATH": os.environ.get("PATH", ""),
+        "HOME": os.environ.get("HOME", "/"),
+        "LANG": "C.UTF-8",
+        "PYTHONPATH": _site_packages(),
+        "ZINCVALE_CONFIG": str(settings),
+    }
+
+
 def _site_packages() -> str:
     return next(path for path in sys.path if path.endswith("site-packages"))
 
