Start: SIGHUP stays pending until the daemon has its handler, instead of ending the process

Seen by callers: a machine whose settings change while it starts is gone for a second start (1 to 3 s on a busy machine); where nothing starts it again, for good. Operators: with a core lost so, the next loss leaves one of three. Cause: handlers were set in DaemonProcess.run, after imports, settings, data folder and sockets; until then the default action of SIGHUP ends the process. The platform sends it to every machine whose settings change, so also to those that start because a core was replaced or seeds were exchanged. Change: the first statement of deploy/start.py (and of the commands core and node) blocks the signal; it is unblocked when its handler is set, and blocked again when the loop has ended, since the interpreter resets handlers at its end. Why it works: the kernel keeps a blocked signal pending; nothing is lost and nothing has to poll. What remains: the time in which the interpreter itself starts, some 20 ms, before the first statement.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -1,8 +1,14 @@
 """Starts a daemon from a source checkout, with the sources in `src` beside this folder."""
 
-import gc
-import sys
-from pathlib import Path
+import signal
+
+# The start takes a second or more, and SIGHUP would end the process meanwhile. It stays pending
+# until the daemon has set its handler.
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+import gc  # noqa: E402
+import sys  # noqa: E402
+from pathlib import Path  # noqa: E402
 
 # Nearly all objects that the imports create live as long as the process, and collecting garbage
 # among them takes a quarter of the start. The daemon enables the collector before it serves.
--- a/src/zincvale/cli/daemon_commands.py
+++ b/src/zincvale/cli/daemon_commands.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from zincvale.runtime.hangup import defer_hangups
 from zincvale.runtime.logs import open_log
 from zincvale.runtime.settings import DaemonSettings, load_settings
 
@@ -23,6 +24,7 @@
             what the nodes hold.
         overrides: settings fields, for example --zone zone-a --data_folder data/core-1.
     """
+    defer_hangups()
     loaded = _load(settings, CORE_ROLE, overrides)
     from zincvale.daemons.core_daemon import CoreDaemon
 
@@ -36,6 +38,7 @@
         settings: the settings file (YAML); every field can also be given as a flag.
         overrides: settings fields, for example --zone zone-a --seeds '["127.0.0.1:9000"]'.
     """
+    defer_hangups()
     loaded = _load(settings, NODE_ROLE, overrides)
     from zincvale.daemons.node_daemon import NodeDaemon
 
--- a/src/zincvale/daemons/process.py
+++ b/src/zincvale/daemons/process.py
@@ -16,6 +16,7 @@
 from zincvale.model.identifiers import MemberId
 from zincvale.runtime import log_events
 from zincvale.runtime.driver import TICK_INTERVAL_MS, Machine, MachineDriver, Storage
+from zincvale.runtime.hangup import accept_hangups, defer_hangups
 from zincvale.runtime.listening import listen
 from zincvale.runtime.logs import log
 from zincvale.runtime.peer_router import PeerRouter
@@ -105,9 +106,9 @@
         def on_hangup_signal(_number: int, _frame: Any) -> None:
             loop.add_callback_from_signal(self.on_reload)
 
-        signal.signal(signal.SIGHUP, on_hangup_signal)
         signal.signal(signal.SIGTERM, on_stop_signal)
         signal.signal(signal.SIGINT, on_stop_signal)
+        accept_hangups(on_hangup_signal)
         log(
             log_events.DAEMON_STARTED,
             role=self.settings.role,
@@ -116,6 +117,8 @@
             peer_address=self.settings.peer_address,
         )
         loop.start()
+        # While the interpreter ends, it resets the handlers, and the signal would kill it.
+        defer_hangups()
         self.driver.stop()
         for server in self._http_servers:
             server.stop()
--- a/tests/daemons/test_process.py
+++ b/tests/daemons/test_process.py
@@ -20,6 +20,8 @@
         super().setUp()
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             self.addCleanup(signal.signal, number, signal.getsignal(number))
+        signal_mask = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+        self.addCleanup(signal.pthread_sigmask, signal.SIG_SETMASK, signal_mask)
 
     def test_a_second_stop_signal_does_not_restart_the_drain(self) -> None:
         driver = SimpleNamespace(
--- a/tests/platform/test_start_signals.py
+++ b/tests/platform/test_start_signals.py
@@ -13,7 +13,7 @@
 import testtools
 
 from tests.soak.layout import Network
-from tests.soak.machines import child_environment
+from tests.soak.machines import child_environment, reset_hangup
 from tests.soak.settings_file import write_settings
 from zincvale.runtime import log_events
 
@@ -46,7 +46,7 @@
             stdout=subprocess.DEVNULL,
             stderr=subprocess.PIPE,
             env=child_environment(settings),
-            preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_DFL),
+            preexec_fn=reset_hangup,
         )
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -42,8 +42,8 @@
     """When to start it again; only while nothing runs."""
     stop_by: float | None = None
     """When SIGKILL follows a SIGTERM."""
-    last_signal: signal.Signals | None = None
-    """The last signal that may end it."""
+    ending_signals: set[int] = attrs.field(factory=set)
+    """Signals sent to this run of it that may end it."""
     ended_by_itself: bool = False
     """Whether its last run did; a process that ends by itself counts as running all the time."""
 
@@ -168,14 +168,14 @@
                 self._start(process, now)
         elif process.stop_by is not None and now >= process.stop_by:
             self._history.note(now, "grace-over", process=process.name)
-            process.last_signal = signal.SIGKILL
+            process.ending_signals.add(signal.SIGKILL)
             process.popen.kill()
             process.stop_by = None
 
     def _on_end(self, process: RoleProcess, now: float) -> None:
         assert process.popen is not None
         code = process.popen.returncode
-        by_rig = process.last_signal is not None and code in (-process.last_signal, 0)
+        by_rig = -code in process.ending_signals or (code == 0 and bool(process.ending_signals))
         self._history.ends.append(
             ProcessEnd(now, process.machine.name, process.role, code, by_rig=by_rig)
         )
@@ -183,7 +183,7 @@
         process.ended_by_itself = not by_rig
         process.popen = None
         process.stop_by = None
-        process.last_signal = None
+        process.ending_signals.clear()
         process.start_at = now + self._restart_delay_s()
 
     def _start(self, process: RoleProcess, now: float) -> None:
@@ -233,7 +233,7 @@
             assert process.popen is not None
             if process.stop_by is None:
                 process.stop_by = now + GRACE_S
-                process.last_signal = signal.SIGTERM
+                process.ending_signals.add(signal.SIGTERM)
             process.popen.send_signal(signal.SIGTERM)
 
     def kill(self, name: str, roles: Sequence[str] = ("core", "node")) -> None:
@@ -242,7 +242,7 @@
         for process in self._running(name):
             if process.role in roles:
                 assert process.popen is not None
-                process.last_signal = signal.SIGKILL
+                process.ending_signals.add(signal.SIGKILL)
                 process.popen.kill()
 
     def set_dark(self, name: str, *, dark: bool) -> None:
@@ -320,4 +320,10 @@
 def _prepare_child() -> None:
     """Die with the harness, and react to SIGHUP as by default even if the harness ignores it."""
     _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    reset_hangup()
+
+
+def reset_hangup() -> None:
+    """Let SIGHUP end this process, as by default, whatever it inherited."""
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
