Settings: a file that changes while a process starts is read again

Seen by callers: nothing yet; found while looking for the cause of the hang-up fault elsewhere: what happens during the start is missed. Cause: the watch took the file's time when it was made, after the settings had been read and the daemon assembled; a change in between (the platform may change the file without a signal) was never noticed, so that a process kept seeds that may all be gone. Change: the time is taken before the file is read. Evidence: two tests; with the time of the watch's construction the first finds no reload (it failed as: [] != [('10.0.0.2:7000',)] on a copy).

--- a/src/zincvale/platform/main.py
+++ b/src/zincvale/platform/main.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import sys
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -11,7 +10,11 @@
 
 from zincvale.daemons.forwarding_timings import forwarding_timings
 from zincvale.model.errors import ZincvaleError
-from zincvale.platform.settings import ProcessSettings, load_process_settings, settings_path
+from zincvale.platform.settings import (
+    ProcessSettings,
+    load_process_settings,
+    settings_modified_at,
+)
 from zincvale.platform.settings_watch import SettingsWatch
 from zincvale.runtime.logs import open_log
 
@@ -63,7 +66,7 @@
         forwarding_timings(),
         bootstrap=settings.bootstrap,
     )
-    _watch_settings("core", core.use_seeds, core.process)
+    _watch_settings("core", settings, core.use_seeds, core.process)
     core.run()
 
 
@@ -72,7 +75,7 @@
     from zincvale.daemons.standby_daemon import StandbyDaemon
 
     standby = StandbyDaemon(settings.daemon)
-    _watch_settings("core", standby.use_seeds, standby.process)
+    _watch_settings("core", settings, standby.use_seeds, standby.process)
     standby.run()
 
 
@@ -83,23 +86,22 @@
     node = ForwardingNode(
         settings.daemon, settings.forwarding, PlatformForwarding(), forwarding_timings()
     )
-    _watch_settings("node", node.use_seeds, node.process)
+    _watch_settings("node", settings, node.use_seeds, node.process)
     node.run()
 
 
 def _watch_settings(
-    role: str, use_seeds: Callable[[tuple[str, ...]], None], process: DaemonProcess
+    role: str,
+    settings: ProcessSettings,
+    use_seeds: Callable[[tuple[str, ...]], None],
+    process: DaemonProcess,
 ) -> None:
     """Reload the seeds whenever the settings file changes or SIGHUP arrives."""
     watch = SettingsWatch(
-        _settings_modified_at, lambda: tuple(load_process_settings(role).daemon.seeds), use_seeds
+        settings_modified_at,
+        lambda: tuple(load_process_settings(role).daemon.seeds),
+        use_seeds,
+        settings.modified_at,
     )
     process.on_reload = watch.reload
     PeriodicCallback(watch.poll, SETTINGS_POLL_INTERVAL_MS).start()
-
-
-def _settings_modified_at() -> int:
-    try:
-        return os.stat(settings_path()).st_mtime_ns
-    except OSError:
-        return 0
--- a/src/zincvale/platform/settings.py
+++ b/src/zincvale/platform/settings.py
@@ -27,6 +27,8 @@
     daemon: DaemonSettings
     forwarding: ForwardingSettings
     bootstrap: bool
+    modified_at: int = 0
+    """Modification time of the file, in nanoseconds; taken before the file was read."""
 
 
 def settings_path() -> str:
@@ -34,12 +36,21 @@
     return os.environ.get(SETTINGS_VARIABLE, "")
 
 
+def settings_modified_at() -> int:
+    """Return the modification time of the settings file in nanoseconds; 0 if there is none."""
+    try:
+        return os.stat(settings_path()).st_mtime_ns
+    except OSError:
+        return 0
+
+
 def load_process_settings(role: str) -> ProcessSettings:
     """Return the settings of this process; raises `InvalidInputError`."""
     path = settings_path()
+    modified_at = settings_modified_at()
     try:
         decoded = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-        return process_settings(decoded, role)
+        return attrs.evolve(process_settings(decoded, role), modified_at=modified_at)
     except OSError as error:
         raise InvalidInputError(
             f"settings file {path!r} cannot be read: {error.strerror}",
--- a/src/zincvale/platform/settings_watch.py
+++ b/src/zincvale/platform/settings_watch.py
@@ -18,6 +18,7 @@
     modified_at : returns the modification time of the file, in any unit.
     load_seeds : reads the seeds; raises `ZincvaleError` when the file cannot be used.
     use_seeds : called with the seeds that were loaded.
+    loaded_modified_at : modification time of the file that is in use, from before it was read.
     """
 
     def __init__(
@@ -25,11 +26,12 @@
         modified_at: Callable[[], int],
         load_seeds: Callable[[], tuple[str, ...]],
         use_seeds: Callable[[tuple[str, ...]], None],
+        loaded_modified_at: int,
     ) -> None:
         self._modified_at = modified_at
         self._load_seeds = load_seeds
         self._use_seeds = use_seeds
-        self._last_modified_at = modified_at()
+        self._last_modified_at = loaded_modified_at
 
     def poll(self) -> None:
         """Reload the seeds if the file changed since the last poll."""
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -80,6 +80,24 @@
             with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: f"{folder}/none"}):
                 self.assertRaises(InvalidInputError, load_process_settings, "core")
 
+    def test_the_modification_time_of_a_file_that_changes_while_it_is_read_is_the_former_one(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.toml"
+            path.write_text(TEXT, encoding="utf-8")
+            os.utime(path, ns=(1, 1))
+            read_text = Path.read_text
+
+            def read_and_change(read: Path, encoding: str) -> str:
+                text = read_text(read, encoding=encoding)
+                os.utime(path, ns=(2, 2))
+                return text
+
+            with (
+                mock.patch.dict(os.environ, {SETTINGS_VARIABLE: str(path)}),
+                mock.patch.object(Path, "read_text", read_and_change),
+            ):
+                self.assertEqual(1, load_process_settings("core").modified_at)
+
 
 def _forwarding_terms(forwarding):
     return forwarding.cores_lost_at_once, forwarding.order_quiet_s, forwarding.list_lag_s
--- a/tests/platform/test_settings_watch.py
+++ b/tests/platform/test_settings_watch.py
@@ -14,7 +14,12 @@
         self.modified_at = 1
         self.seeds: tuple[str, ...] | None = ("10.0.0.1:7000",)
         self.used: list[tuple[str, ...]] = []
-        self.watch = SettingsWatch(lambda: self.modified_at, self.load, self.used.append)
+        self.watch = self.watch_of_file_from(1)
+
+    def watch_of_file_from(self, loaded_modified_at: int) -> SettingsWatch:
+        return SettingsWatch(
+            lambda: self.modified_at, self.load, self.used.append, loaded_modified_at
+        )
 
     def load(self) -> tuple[str, ...]:
         if self.seeds is None:
@@ -44,3 +49,8 @@
         self.modified_at, self.seeds = 3, ("10.0.0.3:7000",)
         self.watch.poll()
         self.assertEqual([("10.0.0.3:7000",)], self.used)
+
+    def test_a_file_that_changed_while_the_process_started_is_reloaded(self) -> None:
+        self.modified_at, self.seeds = 2, ("10.0.0.2:7000",)
+        self.watch_of_file_from(1).poll()
+        self.assertEqual([("10.0.0.2:7000",)], self.used)
