--- a/deploy/start.py
+++ b/deploy/start.py
@@ -1,10 +1,11 @@
 """Starts a daemon from a source checkout, with the sources in `src` beside this folder."""
 
-import signal
+from _signal import SIG_BLOCK, SIGHUP, pthread_sigmask
 
 # The start takes a second or more, and SIGHUP would end the process meanwhile. It stays pending
-# until the daemon has set its handler.
-signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+# until the daemon has set its handler. The module `signal` alone would take a third of the time
+# that passes before this line.
+pthread_sigmask(SIG_BLOCK, {SIGHUP})
 
 import gc  # noqa: E402
 import sys  # noqa: E402
