--- a/src/zincvale/coordination/core/components.py
+++ b/src/zincvale/coordination/core/components.py
@@ -24,7 +24,7 @@
 from zincvale.coordination.leases.renewal_batcher import LeaseRenewalBatcher
 from zincvale.coordination.membership.heartbeats import HeartbeatSender
 from zincvale.coordination.membership.registry import reduce_registry
-from zincvale.coordination.registers.change_messages import ChangeResult
+from zincvale.coordination.registers.change_messages import IN_FORCE, ChangeResult
 from zincvale.coordination.registers.chosen_values import ChosenValues
 from zincvale.coordination.registers.cluster_creation import ClusterCreation
 from zincvale.coordination.registers.owner import RegisterOwner
@@ -99,6 +99,8 @@
             return self.leader_election.on_epoch_proposed(
                 name.removeprefix(ROLE_PROPOSAL_PREFIX), result, now
             )
+        if name == REPLICA_SETS_KEY and result.status == IN_FORCE:
+            self.replica_set_reconciler.check_soon()
         return []
 
 
--- a/src/zincvale/coordination/core/dispatch.py
+++ b/src/zincvale/coordination/core/dispatch.py
@@ -181,6 +181,7 @@
     is_new = previous is None or previous.info.incarnation != heartbeat.info.incarnation
     if is_new:
         components.heartbeats.schedule_full_to(sender, now)
+        components.replica_set_reconciler.check_soon()
     components.context.cores.record_heartbeat(sender, heartbeat, now)
     if (
         is_new
--- a/src/zincvale/coordination/registers/owner.py
+++ b/src/zincvale/coordination/registers/owner.py
@@ -95,6 +95,7 @@
     quorum : the configuration whose majorities must acknowledge the record. It differs from the
         configuration in `record` when the write leaves a joint configuration.
     acknowledged : the replicas that have the record on their disks.
+    enters_joint : whether the record begins the move to other replicas.
     """
 
     record: Record
@@ -103,6 +104,7 @@
     quorum: ReplicaConfig
     sent_at: float
     acknowledged: set[str] = attrs.field(factory=set)
+    enters_joint: bool = False
 
 
 class RegisterOwner:
@@ -296,7 +298,10 @@
         self.phase = OwnerPhase.REPROPOSING
         record = newest_promised.reproposed_under(self.epoch, self._next_config(newest_promised))
         quorum = newest_promised.config if newest_promised.config.previous else record.config
-        return self._begin_write(_InFlightWrite(record, record.to_update(), [], quorum, now))
+        enters_joint = bool(record.config.previous) and not newest_promised.config.previous
+        return self._begin_write(
+            _InFlightWrite(record, record.to_update(), [], quorum, now, enters_joint=enters_joint)
+        )
 
     def _next_config(self, newest_promised: Record) -> ReplicaConfig:
         """Return the configuration under which the newest promised record is written again.
@@ -334,6 +339,9 @@
             effects.append(Log(log_events.VALUE_RESTORED, fields))
         if self.phase is OwnerPhase.REPROPOSING:
             self.phase = OwnerPhase.SERVING
+            if in_flight.enters_joint:
+                # The move is half done; it is completed as soon as the record is copied.
+                self._reconfiguration_at = now
             fields = {"key": self.key, "epoch": self.epoch.number, "version": self.chosen_version}
             effects.append(Log(log_events.OWNER_STARTED, fields))
         return effects + self._write_next(now)
--- a/src/zincvale/coordination/replication/replica_set_reconciler.py
+++ b/src/zincvale/coordination/replication/replica_set_reconciler.py
@@ -63,6 +63,15 @@
             return keys_change(undeclared_keys)
         return self._replacement_if_due(declared, live, now) or self._removal_if_due(live, now)
 
+    def check_soon(self) -> None:
+        """Check again at the next tick: the previous change was applied, or a core appeared.
+
+        A core that returned empty counts as caught up a few seconds after its start, most of which
+        its start may take. Its join, the replacement and the move of the records must not wait for
+        an interval each.
+        """
+        self._check_at = 0.0
+
     def operator_change(self, remove: str, add: str) -> bytes:
         """Return the change that replaces the replica on one core by the one on another core."""
         declared = self._context.replica_sets.grantors()
