Registers: a change is not rejected because of another one that may still be lost

Seen by callers: an operator gets 412 for a change, and finds it in force afterwards (the rule: a change that was refused or lost a race must not be in force); or both of two racing operators get 412 and neither change exists. Cause: the changes of one batch are evaluated against each other. A rejection was proven by a round of confirmations, which needs no disk, and so was answered before the batch was on any disk. When the owner ends in between, the change it was rejected for is gone; a second copy of the rejected one (sent again to another core, which still holds it) is then evaluated against the old record by the next owner and accepted. Change: such a rejection is an outcome of the write of its batch: it is answered once the batch is chosen, and goes back to be routed again when the owner steps down. Why it works: a write that a majority accepts under the owner's epoch, after the evaluation, proves what the round of confirmations proves, and that the other change is not lost.

--- a/src/zincvale/coordination/registers/owner.py
+++ b/src/zincvale/coordination/registers/owner.py
@@ -96,6 +96,8 @@
         configuration in `record` when the write leaves a joint configuration.
     acknowledged : the replicas that have the record on their disks.
     enters_joint : whether the record begins the move to other replicas.
+    rejections : changes that were rejected because of others in this write. They get their results
+        once it is chosen: until then the others may still be lost, and another owner accept these.
     """
 
     record: Record
@@ -105,6 +107,7 @@
     sent_at: float
     acknowledged: set[str] = attrs.field(factory=set)
     enters_joint: bool = False
+    rejections: list[RejectedProposal] = attrs.field(factory=list)
 
 
 class RegisterOwner:
@@ -206,6 +209,7 @@
         tokens = [token for token, _ in self._queue]
         if self._in_flight is not None:
             tokens.extend(proposal.token for proposal in self._in_flight.accepted)
+            tokens.extend(rejection.token for rejection in self._in_flight.rejections)
         self._queue.clear()
         self._in_flight = None
         return [*tokens, *self._proof.abandon()]
@@ -333,6 +337,7 @@
         self._replicas_with_record = in_flight.acknowledged
         self._straggler_push_at = now + STRAGGLER_INTERVAL_S
         self.outcomes.append(NewlyChosen(in_flight.record, in_flight.accepted))
+        self.outcomes.extend(in_flight.rejections)
         if self._is_restoring:
             self._is_restoring = False
             fields = {"key": self.key, "version": self.chosen_version}
@@ -377,20 +382,29 @@
         if self.phase is not OwnerPhase.SERVING or self._in_flight is not None or not self._queue:
             return []
         batch = ChangeBatch(self._record, self._reducer)
-        rejections = []
+        rejections_by_record: list[RejectedProposal] = []
+        rejections_by_batch: list[RejectedProposal] = []
         while self._queue and len(batch.accepted) < BATCH_LIMIT:
             token, proposal = self._queue.popleft()
             rejection = batch.add(token, proposal)
             if rejection is not None:
-                rejections.append(RejectedProposal(token, rejection))
-        effects = self._proof.add(rejections, self.epoch, self._record.config, now)
+                group = rejections_by_batch if batch.entries else rejections_by_record
+                group.append(RejectedProposal(token, rejection))
+        effects = self._proof.add(rejections_by_record, self.epoch, self._record.config, now)
         if not batch.entries:
             if batch.accepted:
                 self.outcomes.append(NewlyChosen(self._record, batch.accepted))
             return effects
         record, update = batch.finish(self.epoch)
         return effects + self._begin_write(
-            _InFlightWrite(record, update, batch.accepted, record.config, now)
+            _InFlightWrite(
+                record,
+                update,
+                batch.accepted,
+                record.config,
+                now,
+                rejections=rejections_by_batch,
+            )
         )
 
     def _begin_write(self, write: _InFlightWrite) -> list[Effect]:
--- a/src/zincvale/coordination/registers/ownership_proof.py
+++ b/src/zincvale/coordination/registers/ownership_proof.py
@@ -4,6 +4,9 @@
 would base this statement on an outdated record. Therefore a rejection is sent only after a quorum
 of replicas confirmed, in a round that began after the change was evaluated, that they had promised
 no higher epoch. The read index of Raft works in the same way (Ongaro 2014, section 6.4).
+
+A change that was rejected because of others in the same batch needs no round of its own: the owner
+sends the result once the batch is chosen, which proves as much.
 """
 
 from __future__ import annotations
