Soak: counts of key events, and defects in logs count as broken rules

Cause: a run that broke no rule was removed with its logs, and a handler that failed went unnoticed. Change: events 1006 and 1008 and tracebacks are problems; events of the hypotheses are counted in each run's line.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,6 +25,7 @@
 from tests.soak.faults import CATCH_UP_S, FAULT_WEIGHTS, Fault, FaultRunner, draw_plan
 from tests.soak.history import Answer, History
 from tests.soak.layout import MachineSpec, Network, machines
+from tests.soak.logs import count_events
 from tests.soak.machines import Fleet
 from tests.soak.operator import Operators
 from tests.soak.servers import Servers
@@ -54,6 +55,8 @@
     """Kinds of faults; all without any."""
     final_fault: str = ""
     """One of `FINAL_FAULTS`; drawn if empty."""
+    keep: bool = False
+    """Whether the logs stay, whatever the run shows."""
 
 
 @attrs.define
@@ -220,6 +223,8 @@
     run = asyncio.run(play())
     history = run.history
     verdict = check(history)
+    events, defects = count_events(folder)
+    verdict.problems.extend(Problem(rule, 0.0, text) for rule, text in defects)
     for problem in verdict.problems:
         history.note(problem.at, "problem", rule=problem.rule, text=problem.text)
     history.write(folder / "history.jsonl")
@@ -230,8 +235,9 @@
         "ran": sum(request.answer is Answer.RAN for request in history.requests),
         "own-ends": sum(not end.by_rig for end in history.ends),
         "ends": len(history.ends),
+        **events,
     }
-    if not verdict.problems:
+    if not verdict.problems and not options.keep:
         shutil.rmtree(folder, ignore_errors=True)
     return RunResult(options, verdict.problems, verdict.staleness, counts, str(folder))
 
@@ -265,6 +271,7 @@
     parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--only", default="")
     parser.add_argument("--final-fault", default="")
+    parser.add_argument("--keep", action="store_true")
     parser.add_argument("--jobs", type=int, default=1)
     parser.add_argument("--folder", default="target/soak")
     arguments = parser.parse_args()
@@ -279,6 +286,7 @@
             arguments.load,
             tuple(name for name in arguments.only.split(",") if name),
             arguments.final_fault,
+            arguments.keep,
         )
         for seed in range(int(first), int(last or first) + 1)
     ]
