Forwarding: a node without a lease does not deny a route that may have been added

Change: without a lease, what the document does not allow (404, and 413 by its limits) is answered 503 with Retry-After; requests that it allows are served as before. Evidence: a test that failed before (404 instead of 503). What remains: without a lease a request on a route that was removed or moved is served by the last document.

--- a/src/zincvale/dataplane/forwarding/service.py
+++ b/src/zincvale/dataplane/forwarding/service.py
@@ -30,6 +30,8 @@
 UNAVAILABLE = 503
 NO_DOCUMENT_RETRY_AFTER_S = 0.5
 STOPPING_RETRY_AFTER_S = 0.1
+NO_LEASE_RETRY_AFTER_S = 0.3
+"""`Retry-After` of a node that may lack a newer document: about half a renewal interval."""
 NEW_STREAMS_ALLOWED_S = 3.0
 """A draining node begins streams only within this time after its stop signal: later ones might
 outlive the process."""
@@ -87,7 +89,7 @@
         self._draining_since = 0.0
         self._process_ends_at = 0.0
         self._deferred: list[_DeferredRequest] = []
-        self._unleased_requests = unleased_requests
+        self._unleased_requests = unleased_requests or UnleasedRequests(lambda: True)
         self.context = ForwardingContext(
             routing=RoutingState(config.zone, config.member, config.fleet_limits),
             chain=PolicyChain(make_scorers(config.policies)),
@@ -140,16 +142,15 @@
     def begin_request(self, incoming: IncomingRequest, sink: CallerSink) -> ForwardedRequest | None:
         """Begin a request under the current document, or respond to it at once."""
         document = self.routing.document
-        if self._unleased_requests is not None:
-            self._unleased_requests.record_request(document.version, self._clock())
+        self._unleased_requests.record_request(document.version, self._clock())
         headers = {name.lower(): value for name, value in incoming.headers}
         path = incoming.target.partition("?")[0]
         route = self.routing.routes.find(headers.get("host", ""), path)
         if route is None:
-            _reply(sink, NOT_FOUND, "no route takes this host and path")
+            self._deny(sink, NOT_FOUND, "no route takes this host and path")
             return None
         if incoming.body is not None and len(incoming.body) > document.limits.max_body_bytes:
-            _reply(sink, TOO_LARGE, "the body is larger than the limit")
+            self._deny(sink, TOO_LARGE, "the body is larger than the limit")
             return None
         if self._may_outlive_process(route):
             _reply(sink, UNAVAILABLE, "this node is about to stop", STOPPING_RETRY_AFTER_S)
@@ -159,6 +160,22 @@
         request.begin()
         return request
 
+    def _deny(self, sink: CallerSink, status: int, problem: str) -> None:
+        """Respond that the document does not allow a request, which its caller will not retry.
+
+        Without a lease, a newer document that allows the request may be in force already, so the
+        caller is asked to retry instead.
+        """
+        if self._unleased_requests.has_lease():
+            _reply(sink, status, problem)
+        else:
+            _reply(
+                sink,
+                UNAVAILABLE,
+                f"{problem}, by a document that may be outdated",
+                NO_LEASE_RETRY_AFTER_S,
+            )
+
     # --- stopping -------------------------------------------------------------------------
 
     def start_draining(self, not_before: float, limit_s: float) -> None:
--- a/src/zincvale/dataplane/forwarding/unleased_requests.py
+++ b/src/zincvale/dataplane/forwarding/unleased_requests.py
@@ -38,12 +38,12 @@
     """
 
     def __init__(self, has_lease: Callable[[], bool]) -> None:
-        self._has_lease = has_lease
+        self.has_lease = has_lease
         self._period: UnleasedPeriod | None = None
 
     def record_request(self, version: int, now: float) -> None:
         """Count a request that begins by version `version` of the document."""
-        if self._has_lease():
+        if self.has_lease():
             return
         period = self._period or UnleasedPeriod(now, now, 0, version, version)
         self._period = attrs.evolve(
@@ -52,7 +52,7 @@
 
     def take_ended_period(self) -> UnleasedPeriod | None:
         """Return the counted period once the lease is valid again, and begin anew."""
-        if self._period is None or not self._has_lease():
+        if self._period is None or not self.has_lease():
             return None
         period, self._period = self._period, None
         return period
--- a/tests/dataplane/forwarding/test_service.py
+++ b/tests/dataplane/forwarding/test_service.py
@@ -25,6 +25,7 @@
     ForwardingConfig,
     ForwardingService,
 )
+from zincvale.dataplane.forwarding.unleased_requests import UnleasedRequests
 from zincvale.model.forwarding import CallerLimits
 from zincvale.model.identifiers import MemberId, ZoneName
 from zincvale.transport.server_exchange import ResponseHead
@@ -105,6 +106,7 @@
 
     def __init__(self, is_configured=True):
         self.now = 100.0
+        self.has_lease = True
         self.service = ForwardingService(
             ForwardingConfig(MemberId("n1"), ZoneName("z1")),
             NativeDialect(),
@@ -112,6 +114,7 @@
             random=random.Random(1),
             clock=lambda: self.now,
             on_urgent=lambda: None,
+            unleased_requests=UnleasedRequests(lambda: self.has_lease),
         )
         self.client = self.service.context.client = Client()
         if is_configured:
@@ -207,6 +210,27 @@
 
         run(scenario)
 
+    def test_a_node_without_a_lease_does_not_deny_a_route_that_may_have_been_added(self):
+        async def scenario():
+            node = Node()
+            node.has_lease = False
+            refused = node.send_request("/other/")[1].log[0]
+            self.assertEqual(503, refused[0])
+            self.assertIsNotNone(refused[1])
+            node.has_lease = True
+            self.assertEqual([(404, None)], node.send_request("/other/")[1].log)
+
+        run(scenario)
+
+    def test_a_node_without_a_lease_still_serves_the_routes_that_it_knows(self):
+        async def scenario():
+            node = Node()
+            node.has_lease = False
+            node.send_request()
+            self.assertEqual(1, len(node.client.sent))
+
+        run(scenario)
+
 
 class DeferredRequestTest(testtools.TestCase):
     def test_a_started_node_defers_requests_until_it_is_configured(self):
