Forwarding: requests wait half a second for a lapsed lease before a node serves by its last document

A node that lost its lease for a moment (a core that was killed or is frozen, a process that stood still) handled requests by a document that an acknowledgement no longer counts on: by the old pool, or by a route that is gone. Change: a lease that lapses is renewed, and with it comes the newest document, within some 0.1 s as a rule; a request that arrives meanwhile waits for it, 0.5 s at most. After that the node counts as partitioned and serves as before. The counter of such requests became LeaseWatch. test_node_assembly lists one more call, the begin of deferred requests after everything else was applied. Why it works: a renewed lease requires every version that a majority of the cores knew to be chosen. What remains: a node without a lease for longer than 0.5 s.

--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -21,9 +21,9 @@
 from zincvale.dataplane import log_events as dataplane_log_events
 from zincvale.dataplane.forwarding.dialect import ForwardingDialect
 from zincvale.dataplane.forwarding.fleet_budgets import RetryConfig, SlowStartConfig
+from zincvale.dataplane.forwarding.lease_watch import LeaseWatch
 from zincvale.dataplane.forwarding.routing_state import FleetLimits
 from zincvale.dataplane.forwarding.service import ForwardingConfig, ForwardingService
-from zincvale.dataplane.forwarding.unleased_requests import UnleasedRequests
 from zincvale.model.control_tables import Role
 from zincvale.model.errors import ZincvaleError
 from zincvale.model.identifiers import MemberId
@@ -88,9 +88,7 @@
         )
         self._node = NodeAssembly(settings, options, self)
         self.process = self._node.process
-        self._unleased_requests = UnleasedRequests(
-            lambda: self._node.machine.fresh(self._node.clock())
-        )
+        self._lease_watch = LeaseWatch(lambda: self._node.machine.fresh(self._node.clock()))
         self._build_service(dialect)
 
     def run(self) -> None:
@@ -146,7 +144,7 @@
             random=self._node.random,
             clock=self._node.clock,
             on_urgent=self._schedule_demand_report,
-            unleased_requests=self._unleased_requests,
+            lease_watch=self._lease_watch,
         )
 
     @property
@@ -186,6 +184,7 @@
             members = self._node.machine.members(self._node.clock())
             self._node.tracing.apply_members(members)
             self._service.apply_members(members)
+        self._service.begin_deferred()
 
     # --- time -----------------------------------------------------------------------------
 
@@ -197,7 +196,7 @@
             self._report_demand()
 
     def _log_unleased_requests(self) -> None:
-        period = self._unleased_requests.take_ended_period()
+        period = self._lease_watch.take_ended_period()
         if period is not None:
             log(
                 dataplane_log_events.SERVED_WITHOUT_LEASE,
--- a/src/zincvale/dataplane/forwarding/unleased_requests.py
+++ b/src/zincvale/dataplane/forwarding/lease_watch.py
@@ -1,7 +1,9 @@
-"""Counts the requests that a node begins while it has no valid lease.
+"""What a node does and counts while it has no valid lease.
 
-Acknowledged changes are known to be applied by nodes with a lease only. What is counted here may
-have been handled by an older document than the newest acknowledged one.
+Acknowledged changes are known to be applied by nodes with a lease only. A lease that lapsed for a
+moment is renewed soon, and with it comes the newest document, so requests wait for it. A node that
+is partitioned from the cores serves on by its last document after that wait, because its callers
+have no other node.
 """
 
 from __future__ import annotations
@@ -10,6 +12,10 @@
 
 import attrs
 
+LEASE_WAIT_S = 0.5
+"""How long after the loss of its lease a node defers requests. Renewals follow each other more
+closely than that while a lease is endangered."""
+
 
 @attrs.frozen
 class UnleasedPeriod:
@@ -29,8 +35,8 @@
     last_version: int
 
 
-class UnleasedRequests:
-    """Counts requests without a lease, until the lease is valid again.
+class LeaseWatch:
+    """Observes the lease of a node, at each request and after each input of its machine.
 
     Parameters
     ----------
@@ -39,8 +45,19 @@
 
     def __init__(self, has_lease: Callable[[], bool]) -> None:
         self.has_lease = has_lease
+        self._lost_at: float | None = None
+        """When the present time without a lease was first observed."""
         self._period: UnleasedPeriod | None = None
 
+    def should_wait(self, now: float) -> bool:
+        """Whether a request should wait, because the lease was lost only a moment ago."""
+        if self.has_lease():
+            self._lost_at = None
+            return False
+        if self._lost_at is None:
+            self._lost_at = now
+        return now - self._lost_at < LEASE_WAIT_S
+
     def record_request(self, version: int, now: float) -> None:
         """Count a request that begins by version `version` of the document."""
         if self.has_lease():
--- a/src/zincvale/dataplane/forwarding/service.py
+++ b/src/zincvale/dataplane/forwarding/service.py
@@ -13,11 +13,11 @@
 from zincvale.dataplane.forwarding.caller_sink import CallerSink, IncomingRequest
 from zincvale.dataplane.forwarding.dialect import ForwardingDialect
 from zincvale.dataplane.forwarding.forwarded_request import ForwardedRequest
+from zincvale.dataplane.forwarding.lease_watch import LEASE_WAIT_S, LeaseWatch
 from zincvale.dataplane.forwarding.node_context import ForwardingContext
 from zincvale.dataplane.forwarding.policies import PolicyChain, make_scorers
 from zincvale.dataplane.forwarding.routing_state import FleetLimits, RoutingState
 from zincvale.dataplane.forwarding.servers import Residency
-from zincvale.dataplane.forwarding.unleased_requests import UnleasedRequests
 from zincvale.dataplane.inference.dependencies import Spans
 from zincvale.dataplane.messages import DemandReport
 from zincvale.model.control_tables import Directory, Members
@@ -69,7 +69,7 @@
     dialect : reads and writes the headers of callers and servers.
     clock : returns the present time in seconds.
     on_urgent : called when the demand should be reported at once.
-    unleased_requests : counts the requests that begin without a lease.
+    lease_watch : observes this node's lease.
     """
 
     def __init__(
@@ -81,7 +81,7 @@
         random: Random,
         clock: Callable[[], float],
         on_urgent: Callable[[], None],
-        unleased_requests: UnleasedRequests | None = None,
+        lease_watch: LeaseWatch | None = None,
     ) -> None:
         self._member = config.member
         self._clock = clock
@@ -89,7 +89,7 @@
         self._draining_since = 0.0
         self._process_ends_at = 0.0
         self._deferred: list[_DeferredRequest] = []
-        self._unleased_requests = unleased_requests or UnleasedRequests(lambda: True)
+        self._lease_watch = lease_watch or LeaseWatch(lambda: True)
         self.context = ForwardingContext(
             routing=RoutingState(config.zone, config.member, config.fleet_limits),
             chain=PolicyChain(make_scorers(config.policies)),
@@ -121,19 +121,26 @@
 
     def handle_request(self, incoming: IncomingRequest, sink: CallerSink) -> CallerHandle | None:
         """Begin a request or respond to it at once; returns None when nothing is left to cancel."""
-        if not self.routing.is_configured:
-            return self._defer(incoming, sink)
-        return self.begin_request(incoming, sink)
-
-    def _defer(self, incoming: IncomingRequest, sink: CallerSink) -> CallerHandle:
-        """Defer a request for the short time in which a node receives its first configuration."""
         deferred = _DeferredRequest(self, incoming, sink)
+        loop = asyncio.get_running_loop()
+        if not self.routing.is_configured:
+            loop.call_later(CONFIGURATION_WAIT_S, deferred.give_up)
+        elif self._lease_watch.should_wait(self._clock()):
+            loop.call_later(LEASE_WAIT_S, deferred.begin)
+        else:
+            return self.begin_request(incoming, sink)
         self._deferred.append(deferred)
-        asyncio.get_running_loop().call_later(CONFIGURATION_WAIT_S, deferred.give_up)
         return deferred
 
-    def _begin_deferred(self) -> None:
-        if not self.routing.is_configured:
+    def begin_deferred(self) -> None:
+        """Begin the deferred requests once there is a configuration and the wait for a lease ends.
+
+        A node that starts receives its first configuration soon, and one whose lease lapsed for a
+        moment the newest.
+        """
+        if not self._deferred or not self.routing.is_configured:
+            return
+        if self._lease_watch.should_wait(self._clock()):
             return
         deferred, self._deferred = self._deferred, []
         for request in deferred:
@@ -142,7 +149,7 @@
     def begin_request(self, incoming: IncomingRequest, sink: CallerSink) -> ForwardedRequest | None:
         """Begin a request under the current document, or respond to it at once."""
         document = self.routing.document
-        self._unleased_requests.record_request(document.version, self._clock())
+        self._lease_watch.record_request(document.version, self._clock())
         headers = {name.lower(): value for name, value in incoming.headers}
         path = incoming.target.partition("?")[0]
         route = self.routing.routes.find(headers.get("host", ""), path)
@@ -166,7 +173,7 @@
         Without a lease, a newer document that allows the request may be in force already, so the
         caller is asked to retry instead.
         """
-        if self._unleased_requests.has_lease():
+        if self._lease_watch.has_lease():
             _reply(sink, status, problem)
         else:
             _reply(
@@ -216,7 +223,7 @@
         self.context.response_times.keep_only(document.routes)
         if self.routing.apply_document(document, self._clock()):
             self.context.dispatch_pending()
-            self._begin_deferred()
+            self.begin_deferred()
 
     def apply_directory(self, directory: Directory) -> None:
         """Apply a newer directory."""
@@ -226,7 +233,7 @@
             {(state.row.address, state.row.incarnation) for state in rows}
         )
         self.context.dispatch_pending()
-        self._begin_deferred()
+        self.begin_deferred()
 
     def apply_residencies(self, residencies: Mapping[ServerId, Residency]) -> None:
         """Apply the residencies that the placement leader published."""
@@ -255,7 +262,7 @@
 
 
 class _DeferredRequest:
-    """A request that arrived before this node had its configuration."""
+    """A request that waits for this node's configuration or lease."""
 
     def __init__(
         self, service: ForwardingService, incoming: IncomingRequest, sink: CallerSink
@@ -267,7 +274,7 @@
         self._begun: ForwardedRequest | None = None
 
     def begin(self) -> None:
-        """Begin the request, now that the node has its configuration."""
+        """Begin the request, unless it has begun or was refused."""
         if self._is_pending:
             self._is_pending = False
             self._begun = self._service.begin_request(self._incoming, self._sink)
--- a/tests/daemons/test_node_assembly.py
+++ b/tests/daemons/test_node_assembly.py
@@ -58,7 +58,8 @@
         expected = ["service.apply_document", "service.apply_directory"]
         expected += ["service.apply_residencies", "tracing.apply_members"]
         self.assertEqual(
-            [*expected, "service.apply_members"], self.calls_on_change(self.forwarding_node())
+            [*expected, "service.apply_members", "service.begin_deferred"],
+            self.calls_on_change(self.forwarding_node()),
         )
 
     def test_a_native_node_ticks_its_services_before_it_reports_demand(self) -> None:
--- a/tests/dataplane/forwarding/test_service.py
+++ b/tests/dataplane/forwarding/test_service.py
@@ -16,6 +16,7 @@
     make_row,
 )
 from zincvale.dataplane.forwarding.caller_sink import IncomingRequest
+from zincvale.dataplane.forwarding.lease_watch import LEASE_WAIT_S, LeaseWatch
 from zincvale.dataplane.forwarding.native_dialect import NativeDialect
 from zincvale.dataplane.forwarding.request_events import RequestOutcome
 from zincvale.dataplane.forwarding.service import (
@@ -25,7 +26,6 @@
     ForwardingConfig,
     ForwardingService,
 )
-from zincvale.dataplane.forwarding.unleased_requests import UnleasedRequests
 from zincvale.model.forwarding import CallerLimits
 from zincvale.model.identifiers import MemberId, ZoneName
 from zincvale.transport.server_exchange import ResponseHead
@@ -114,7 +114,7 @@
             random=random.Random(1),
             clock=lambda: self.now,
             on_urgent=lambda: None,
-            unleased_requests=UnleasedRequests(lambda: self.has_lease),
+            lease_watch=LeaseWatch(lambda: self.has_lease),
         )
         self.client = self.service.context.client = Client()
         if is_configured:
@@ -210,27 +210,65 @@
 
         run(scenario)
 
-    def test_a_node_without_a_lease_does_not_deny_a_route_that_may_have_been_added(self):
+
+class LapsedLeaseTest(testtools.TestCase):
+    def node_without_lease(self):
+        node = Node()
+        node.has_lease = False
+        return node
+
+    def node_that_waited(self):
+        node = self.node_without_lease()
+        node.send_request("/other/")
+        node.now += LEASE_WAIT_S
+        return node
+
+    def test_a_request_waits_for_a_lapsed_lease_and_is_handled_by_the_document_that_comes_with_it(
+        self,
+    ):
         async def scenario():
-            node = Node()
-            node.has_lease = False
-            refused = node.send_request("/other/")[1].log[0]
-            self.assertEqual(503, refused[0])
-            self.assertIsNotNone(refused[1])
+            node = self.node_without_lease()
+            _, sink = node.send_request()
+            self.assertEqual(([], []), (sink.log, node.client.sent))
+            node.service.apply_document(make_document(2, [], [make_pool(engine=None)]))
+            self.assertEqual([], sink.log)
             node.has_lease = True
-            self.assertEqual([(404, None)], node.send_request("/other/")[1].log)
+            node.service.begin_deferred()
+            self.assertEqual([(404, None)], sink.log)
+            self.assertEqual([], node.client.sent)
 
         run(scenario)
 
-    def test_a_node_without_a_lease_still_serves_the_routes_that_it_knows(self):
+    def test_a_partitioned_node_serves_by_its_last_document_after_the_wait(self):
         async def scenario():
-            node = Node()
-            node.has_lease = False
+            node = self.node_that_waited()
             node.send_request()
             self.assertEqual(1, len(node.client.sent))
 
         run(scenario)
 
+    def test_a_request_whose_wait_ends_without_a_lease_is_begun_once(self):
+        async def scenario():
+            node = self.node_without_lease()
+            handle, _ = node.send_request()
+            node.now += LEASE_WAIT_S
+            handle.begin()
+            node.service.begin_deferred()
+            self.assertEqual(1, len(node.client.sent))
+
+        run(scenario)
+
+    def test_a_node_without_a_lease_does_not_deny_a_route_that_may_have_been_added(self):
+        async def scenario():
+            node = self.node_that_waited()
+            refused = node.send_request("/other/")[1].log[0]
+            self.assertEqual(503, refused[0])
+            self.assertIsNotNone(refused[1])
+            node.has_lease = True
+            self.assertEqual([(404, None)], node.send_request("/other/")[1].log)
+
+        run(scenario)
+
 
 class DeferredRequestTest(testtools.TestCase):
     def test_a_started_node_defers_requests_until_it_is_configured(self):
