--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -265,6 +265,12 @@
         self.service, self.zone, self.address, self.work_s = service, zone, address, work_s
         self.ran: list[tuple[float, str]] = []
         """Seconds since the start of the run, and request id, of everything that ran here."""
+        self.weights_mb: dict[str, float] = {}
+        """Models that the server holds, with the size of each; empty for an application server."""
+        self.sizes_mb: dict[str, float] = {}
+        """Sizes of all models that it may be ordered to load; empty for an application server."""
+        self.limit_mb, self.load_s = 0.0, 0.0
+        self.sequence, self.is_busy, self.has_fallen = 0, False, False
 
 
 class Servers:
@@ -312,15 +318,18 @@
                     "slots": 6,
                     "state": "ready",
                     "coldRemainingMs": 0,
+                    "stage": "both",
+                    "models": models_of(server),
                 }
                 for server in self.servers
+                if not server.has_fallen
             ]
             write_answer(writer, 200, {}, {"instances": rows, "nextPageToken": None})
         writer.close()
 
     async def _serve(self, server: Server, reader: object, writer: object) -> None:
         try:
-            while (request := await read_message(reader)) is not None:
+            while (request := await read_message(reader)) is not None and not server.has_fallen:
                 await self._answer(server, request, writer)
         except (ConnectionError, asyncio.CancelledError):
             pass
@@ -333,18 +342,80 @@
             write_answer(writer, 200, {"Instance-Id": server.instance}, {})
             return
         request_id = headers.get("request-id", "")
-        if expected != server.instance:
+        model = headers.get("model", "")
+        is_held = not server.sizes_mb or model in server.weights_mb
+        if expected != server.instance or (request_id and not is_held):
             write_answer(writer, 421, {"Request-Id": request_id, "Not-Executed": "1"}, {})
             return
+        if path == "/v1/report":
+            write_answer(writer, 200, {}, report_of(server))
+            return
+        if path == "/v1/order":
+            write_answer(writer, self._take_order(server, json.loads(body)), {}, {})
+            return
         if not request_id:
             write_answer(writer, 400, {"Not-Executed": "1"}, {})
             return
         server.ran.append((self._record.now(), request_id))
-        self._record.line(f"server {server.instance} {server.zone} runs {request_id} {path}")
+        self._record.line(f"server {server.instance} {server.zone} runs {request_id} {path} {model}")
         await asyncio.sleep(server.work_s)
         signature = {"Request-Id": request_id, "Server-Signature": f"s.{server.instance}"}
         write_answer(writer, 200, signature, {"server": server.instance, "request": request_id})
 
+    def _take_order(self, server: Server, order: dict[str, object]) -> int:
+        """Take one order, as the page PROTOCOL.md says; return the status."""
+        operation, model = order.get("operation"), str(order.get("model", ""))
+        if operation not in ("load", "unload") or model not in server.sizes_mb:
+            return 400
+        if "holder" not in order or "fencingToken" not in order:
+            return 400
+        if (operation == "load") == (model in server.weights_mb) and not server.is_busy:
+            return 200
+        if server.is_busy or order.get("expectedRevision", server.sequence) != server.sequence:
+            return 409
+        server.sequence += 1
+        held_mb = sum(server.weights_mb.values())
+        self._record.line(
+            f"server {server.instance} takes {operation} {model} from {order['holder']} with token "
+            f"{order['fencingToken']}; it holds {sorted(server.weights_mb)}, {held_mb:.0f} MB of "
+            f"{server.limit_mb:.0f}"
+        )
+        if operation == "load" and held_mb + server.sizes_mb[model] > server.limit_mb:
+            server.has_fallen = True
+            self._record.line(f"server {server.instance} falls: it was ordered to load too much")
+            return 202
+        server.is_busy = True
+        asyncio.get_running_loop().call_later(server.load_s, self._finish, server, order)
+        return 202
+
+    def _finish(self, server: Server, order: dict[str, object]) -> None:
+        server.is_busy = False
+        model = str(order["model"])
+        if order["operation"] == "load":
+            server.weights_mb[model] = server.sizes_mb[model]
+        else:
+            server.weights_mb.pop(model, None)
+
+
+def models_of(server: Server) -> list[dict[str, object]]:
+    """Return the models that a server holds, as in the list and in its report."""
+    return [{"name": name, "version": 1, "adapters": []} for name in server.weights_mb]
+
+
+def report_of(server: Server) -> dict[str, object]:
+    """Return a server's report on itself."""
+    return {
+        "stage": "both",
+        "models": models_of(server),
+        "busy": server.is_busy,
+        "sequence": server.sequence,
+        "waiting": 0,
+        "running": 0,
+        "cacheUsed": 0,
+        "cacheTotal": 106716,
+        "handles": 0,
+    }
+
 
 Message = tuple[str, str, dict[str, str], bytes]
 
@@ -500,14 +571,18 @@
         self.sent: dict[str, tuple[float, Machine]] = {}
         self.statuses: dict[str, int] = {}
 
-    async def ask(self, node: Machine, deadline_s: float = 1.0) -> int:
+    async def ask(
+        self, node: Machine, deadline_s: float = 1.0, path: str = "/quote/q", model: str = ""
+    ) -> int:
         """Send one request to a node; return its status, 0 without an answer in time."""
         self._count += 1
         request_id = f"{self._count:016x}"
         self.sent[request_id] = (self._record.now(), node)
         headers = {"Host": "quote.example", "Request-Id": request_id, "Deadline-Ms": ""}
         headers["Deadline-Ms"] = str(int(deadline_s * 1000))
-        status, _ = await call(node.ip, FRONT, "POST", "/quote/q", headers, b"{}", deadline_s)
+        if model:
+            headers |= {"Model": model, "Token-Counts": "400,30", "Prompt-Prefix": "1:200,2:200"}
+        status, _ = await call(node.ip, FRONT, "POST", path, headers, b"{}", deadline_s)
         self.statuses[request_id] = status
         self._record.line(f"client gets {status or 'no answer'} for {request_id} from {node.name}")
         return status
