--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -285,6 +285,9 @@
         """Sizes of all models that it may be ordered to load; empty for an application server."""
         self.limit_mb, self.load_s = 0.0, 0.0
         self.sequence, self.is_busy, self.has_fallen = 0, False, False
+        self.concerned = ""
+        """The model of the order under way: requests for it that have not begun get 503."""
+        self.running: dict[str, int] = {}
 
 
 class Servers:
@@ -361,6 +364,9 @@
         if expected != server.instance or (request_id and not is_held):
             write_answer(writer, 421, {"Request-Id": request_id, "Not-Executed": "1"}, {})
             return
+        if request_id and server.is_busy and model == server.concerned:
+            write_answer(writer, 503, {"Request-Id": request_id, "Not-Executed": "1"}, {})
+            return
         if path == "/v1/report":
             write_answer(writer, 200, {}, report_of(server))
             return
@@ -374,7 +380,11 @@
         self._record.line(f"server {server.instance} {server.zone} runs {request_id} {path} {model}")
         signature = {"Request-Id": request_id, "Server-Signature": f"s.{server.instance}"}
         if model:
-            await self._stream(server, signature, writer)
+            server.running[model] = server.running.get(model, 0) + 1
+            try:
+                await self._stream(server, signature, writer)
+            finally:
+                server.running[model] -= 1
             return
         await asyncio.sleep(server.work_s)
         write_answer(writer, 200, signature, {"server": server.instance, "request": request_id})
@@ -416,13 +426,17 @@
             server.has_fallen = True
             self._record.line(f"server {server.instance} falls: it was ordered to load too much")
             return 202
-        server.is_busy = True
+        server.is_busy, server.concerned = True, model
         asyncio.get_running_loop().call_later(server.load_s, self._finish, server, order)
         return 202
 
     def _finish(self, server: Server, order: dict[str, object]) -> None:
-        server.is_busy = False
         model = str(order["model"])
+        if order["operation"] == "unload" and server.running.get(model, 0):
+            # An unload waits until its runs end.
+            asyncio.get_running_loop().call_later(EVENT_GAP_S, self._finish, server, order)
+            return
+        server.is_busy, server.concerned = False, ""
         if order["operation"] == "load":
             server.weights_mb[model] = server.sizes_mb[model]
         else:
@@ -442,7 +456,7 @@
         "busy": server.is_busy,
         "sequence": server.sequence,
         "waiting": 0,
-        "running": 0,
+        "running": sum(server.running.values()),
         "cacheUsed": 0,
         "cacheTotal": 106716,
         "handles": 0,
