Observability: each request about an evacuation, its result, and the document that each process uses

Cause: nothing in the logs told the hypotheses of the incident apart: not which attempt changed the evacuated zones, not by which document a node routed. Change: 4011 evacuation.requested and 4012 evacuation.responded (status, version, how long it waited, whether its caller had left) at the core that read it; 1011 document.evacuations-changed at every core and node, with both versions. No decision changes: an abandoned evacuation stays listed until its result only for the log. Result: tests/controlplane, tests/daemons, tests/platform, tests/docs and tests/golden pass; the list of event numbers gains three.

--- a/src/zincvale/controlplane/api/dispatch.py
+++ b/src/zincvale/controlplane/api/dispatch.py
@@ -88,7 +88,7 @@
         except ZincvaleError as error:
             return [_with_allow_header(error_response(request.token, error), error)]
 
-    def on_core_response(self, token: str, message: object) -> list[ApiEffect]:
+    def on_core_response(self, token: str, message: object, _now: float) -> list[ApiEffect]:
         """Handle the core's response to `CallCore(token, ...)`."""
         pending = self._pending.pop(token, None)
         if pending is None:
--- a/src/zincvale/controlplane/api/messages.py
+++ b/src/zincvale/controlplane/api/messages.py
@@ -10,6 +10,7 @@
 
 from zincvale.coordination.registers.change_messages import ProposeChange, ReplaceReplica
 from zincvale.model.errors import VersionConflictError, ZincvaleError
+from zincvale.model.machine import Log
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
@@ -72,7 +73,7 @@
     message: ProposeChange | ReplaceReplica
 
 
-ApiEffect = ApiResponse | CallCore
+ApiEffect = ApiResponse | CallCore | Log
 
 
 def json_response(token: str, status: int, body: object) -> ApiResponse:
--- a/src/zincvale/controlplane/documents/api.py
+++ b/src/zincvale/controlplane/documents/api.py
@@ -15,6 +15,7 @@
 
 import attrs
 
+from zincvale.controlplane import log_events
 from zincvale.controlplane.api.messages import ApiEffect, ApiRequest, ApiResponse, CallCore
 from zincvale.controlplane.documents.changes import (
     DocumentChange,
@@ -27,6 +28,7 @@
 from zincvale.coordination.registers.change_messages import CONFLICT, ChangeResult, ProposeChange
 from zincvale.coordination.replication.replica_sets import INTENT_KEY
 from zincvale.model.errors import UnavailableError, ZincvaleError
+from zincvale.model.machine import Log
 
 CALL_TIMEOUT_S = 4.5
 """Time after which a call gets an error; longer than the core's own limit on a change (4 s by
@@ -85,9 +87,24 @@
     """An operator's call whose response is pending."""
 
     command: Command
-    deadline: float
+    started_at: float
     needed_version: int | None = None
     """For a read: the version that the owner confirmed, the oldest that the response may show."""
+    is_abandoned: bool = False
+    """Whether the caller has disconnected; the result of an evacuation is logged all the same."""
+
+    @property
+    def deadline(self) -> float:
+        """Time at which the call gets an error."""
+        return self.started_at + CALL_TIMEOUT_S
+
+    @property
+    def evacuation(self) -> EvacuationChange | None:
+        """The evacuation that the call requests, if any."""
+        command = self.command
+        if isinstance(command, ChangeDocument) and isinstance(command.change, EvacuationChange):
+            return command.change
+        return None
 
 
 class DocumentApi:
@@ -114,10 +131,14 @@
                 raise UnavailableError("this core has too many pending calls", "ask another core")
         except ZincvaleError as error:
             return [self._dialect.error_response(request.token, error)]
-        self._pending[request.token] = _PendingCall(command, now + CALL_TIMEOUT_S)
-        return [CallCore(request.token, self._proposal(command))]
+        pending = self._pending[request.token] = _PendingCall(command, now)
+        proposal = self._proposal(command)
+        effects: list[ApiEffect] = [CallCore(request.token, proposal)]
+        if pending.evacuation is not None:
+            effects.append(_requested_log(proposal.idempotency_key, pending.evacuation))
+        return effects
 
-    def on_core_response(self, token: str, message: object) -> list[ApiEffect]:
+    def on_core_response(self, token: str, message: object, now: float) -> list[ApiEffect]:
         """Handle the core's response to `CallCore(token, ...)`."""
         pending = self._pending.get(token)
         if pending is None:
@@ -126,7 +147,10 @@
             return self._fail(token, "the core returned an unexpected message")
         if isinstance(pending.command, ChangeDocument):
             del self._pending[token]
-            return [self._dialect.change_response(token, message)]
+            return [
+                *_responded_log(pending, message, now),
+                self._dialect.change_response(token, message),
+            ]
         if message.status != CONFLICT:
             return self._fail(token, "no quorum confirmed the newest version")
         pending.needed_version = message.current_version
@@ -138,6 +162,10 @@
 
     def abandon(self, token: str) -> None:
         """Forget a request whose client disconnected; its change is not cancelled."""
+        pending = self._pending.get(token)
+        if pending is not None and pending.evacuation is not None:
+            pending.is_abandoned = True
+            return
         self._pending.pop(token, None)
 
     def on_intent_changed(self, now: float) -> list[ApiEffect]:
@@ -181,3 +209,27 @@
         self._pending.pop(token, None)
         error = UnavailableError(reason, "send the same request again, to any core")
         return [self._dialect.error_response(token, error)]
+
+
+def _requested_log(idempotency_key: str, evacuation: EvacuationChange) -> Log:
+    fields = {
+        "idempotency_key": idempotency_key,
+        "zone": evacuation.zone,
+        "evacuated": evacuation.evacuated,
+    }
+    return Log(log_events.EVACUATION_REQUESTED, fields)
+
+
+def _responded_log(pending: _PendingCall, result: ChangeResult, now: float) -> list[Log]:
+    evacuation = pending.evacuation
+    if evacuation is None:
+        return []
+    fields = {
+        "zone": evacuation.zone,
+        "evacuated": evacuation.evacuated,
+        "status": result.status,
+        "version": result.version,
+        "waited_s": round(now - pending.started_at, 3),
+        "caller_has_left": pending.is_abandoned,
+    }
+    return [Log(log_events.EVACUATION_RESPONDED, fields)]
--- a/src/zincvale/controlplane/log_events.py
+++ b/src/zincvale/controlplane/log_events.py
@@ -34,6 +34,16 @@
 PLATFORM_LIST_FAILED = declare(
     4009, "platform.list-failed", "The platform's list cannot be read; the last list stays in use."
 )
+EVACUATION_REQUESTED = declare(
+    4011,
+    "evacuation.requested",
+    "An operator's request to evacuate a zone, or to return it to service, was read.",
+)
+EVACUATION_RESPONDED = declare(
+    4012,
+    "evacuation.responded",
+    "A request about an evacuation got its result, `waited_s` after it was read.",
+)
 PUBLICATION_FAILED = declare(
     4010,
     "directory.publication-failed",
--- a/src/zincvale/daemons/control_api_handler.py
+++ b/src/zincvale/daemons/control_api_handler.py
@@ -11,7 +11,9 @@
 from tornado.web import RequestHandler
 
 from zincvale.controlplane.api.messages import ApiEffect, ApiRequest, ApiResponse, CallCore
+from zincvale.model.machine import Log
 from zincvale.runtime.driver import MachineDriver
+from zincvale.runtime.logs import log
 
 
 class OperatorApi(Protocol):
@@ -21,7 +23,7 @@
         """Handle one request; its response is among these effects or those of a later call."""
         ...
 
-    def on_core_response(self, token: str, message: object) -> list[ApiEffect]:
+    def on_core_response(self, token: str, message: object, now: float) -> list[ApiEffect]:
         """Handle the core's reply to `CallCore(token, ...)`."""
         ...
 
@@ -87,6 +89,8 @@
                     self._resolve(token, effect)
                 case CallCore():
                     IOLoop.current().add_callback(self._call_core, effect)
+                case Log(number, fields):
+                    log(number, **fields)
 
     def _resolve(self, token: str, response: ApiResponse) -> None:
         future = self._pending.pop(token, None)
@@ -98,7 +102,7 @@
         if reply is None:
             self._execute(self._api.on_core_failure(effect.token, "the core did not reply"))
             return
-        self._execute(self._api.on_core_response(effect.token, reply))
+        self._execute(self._api.on_core_response(effect.token, reply, self._clock()))
 
 
 class HealthHandler(RequestHandler):
--- a/src/zincvale/daemons/forwarding_core.py
+++ b/src/zincvale/daemons/forwarding_core.py
@@ -28,6 +28,7 @@
 from zincvale.daemons.core_assembly import CoreAssembly, CoreOptions
 from zincvale.daemons.demand_translation import to_demand_reported
 from zincvale.daemons.discovery_runner import DiscoveryRunner
+from zincvale.daemons.evacuation_log import log_evacuations
 from zincvale.daemons.forwarding_dialects import ForwardingDialects
 from zincvale.daemons.forwarding_placement import placement_config
 from zincvale.daemons.listed_reports import listed_reports
@@ -170,11 +171,13 @@
         An unreadable one is logged, and the last readable one stays in use.
         """
         rows = self._core.machine.value(INTENT_KEY)
+        previous = self._documents.document
         try:
             document = self._documents.update(rows.version, rows.rows)
         except ZincvaleError as error:
             log(log_events.INTENT_UNREADABLE, problem=str(error))
             return
+        log_evacuations(previous, document)
         self._placement.feed(IntentChanged(self._intent.update(document)))
         self._discovery.document_changed(document)
         self._core.api.intent_changed()
--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -14,6 +14,7 @@
 from zincvale.coordination.changes import ChangeNotifications
 from zincvale.coordination.config import Timings
 from zincvale.coordination.replication.replica_sets import INTENT_KEY
+from zincvale.daemons.evacuation_log import log_evacuations
 from zincvale.daemons.http_application import application_without_access_log
 from zincvale.daemons.node_assembly import NodeAssembly, NodeOptions
 from zincvale.daemons.process import Drain
@@ -168,8 +169,7 @@
         """Apply delivered changes: document, servers, residency and members, in this order."""
         try:
             if INTENT_KEY in changes.keys:
-                rows = self._node.machine.intent()
-                self._service.apply_document(self._documents.update(rows.version, rows.rows))
+                self._apply_document()
             if LISTED_TOPIC in changes.topics:
                 listed = self._node.machine.topic(LISTED_TOPIC)
                 self._service.apply_directory(
@@ -186,6 +186,13 @@
             self._service.apply_members(members)
         self._service.begin_deferred()
 
+    def _apply_document(self) -> None:
+        rows = self._node.machine.intent()
+        previous = self._documents.document
+        document = self._documents.update(rows.version, rows.rows)
+        self._service.apply_document(document)
+        log_evacuations(previous, document)
+
     # --- time -----------------------------------------------------------------------------
 
     def on_tick(self, now: float) -> None:
--- a/src/zincvale/runtime/log_events.py
+++ b/src/zincvale/runtime/log_events.py
@@ -36,6 +36,11 @@
     "intent.unreadable",
     "A delivered intent or table is unreadable; the last one stays in use.",
 )
+EVACUATIONS_CHANGED = declare(
+    1011,
+    "document.evacuations-changed",
+    "This process uses a document with other evacuated zones than before.",
+)
 SETTINGS_RELOADED = declare(
     1010, "settings.reloaded", "The settings file was read again, after a signal or a change."
 )
--- a/tests/controlplane/api/api_driver.py
+++ b/tests/controlplane/api/api_driver.py
@@ -45,7 +45,7 @@
     def reply(self, token: str, message: Any) -> list[ApiEffect]:
         """Deliver the core's response to a `CallCore`."""
         self.lines.append(f"core -> {token} {message}")
-        return self.record(self.api.on_core_response(token, message))
+        return self.record(self.api.on_core_response(token, message, self.now))
 
     def tick(self, seconds: float) -> list[ApiEffect]:
         """Advance the clock and tick the API."""
--- a/tests/controlplane/api/test_dispatch.py
+++ b/tests/controlplane/api/test_dispatch.py
@@ -145,7 +145,7 @@
     def test_an_unexpected_core_message_leaves_a_change_unconfirmed(self) -> None:
         driver = ApiDriver()
         driver.send("POST", "/v1/intent", EVACUATE, {"Idempotency-Key": "op-1"})
-        effects = driver.api.on_core_response("t1", object())
+        effects = driver.api.on_core_response("t1", object(), 0.0)
         assert isinstance(effects[0], ApiResponse)
         self.assertEqual(503, effects[0].status)
         self.assertIn(b"the core returned object", effects[0].body)
--- a/tests/controlplane/documents/test_documents.py
+++ b/tests/controlplane/documents/test_documents.py
@@ -6,6 +6,7 @@
 import testtools
 from returns.result import Failure, Success
 
+from zincvale.controlplane import log_events
 from zincvale.controlplane.api.messages import ApiRequest, ApiResponse, CallCore, json_response
 from zincvale.controlplane.documents.api import (
     CALL_TIMEOUT_S,
@@ -38,6 +39,7 @@
     ForwardRoute,
     WeightedPool,
 )
+from zincvale.model.machine import Log
 
 
 def route(name, prefix=None, pool="p", **fields):
@@ -239,8 +241,9 @@
         return self.api.handle(ApiRequest(method, "/", {}, {}, b"", token), 0.0)
 
     def proposal(self, effects):
-        assert len(effects) == 1 and isinstance(effects[0], CallCore), effects
-        return effects[0].message
+        calls = [each for each in effects if not isinstance(each, Log)]
+        assert len(calls) == 1 and isinstance(calls[0], CallCore), effects
+        return calls[0].message
 
     def test_equal_changes_have_one_idempotency_key_at_any_core(self):
         first = self.proposal(self.call("PUT"))
@@ -252,10 +255,20 @@
         first, second = self.proposal(self.call("POST")), self.proposal(self.call("POST", "t2"))
         self.assertNotEqual(first.idempotency_key, second.idempotency_key)
 
+    def test_an_evacuation_is_logged_when_it_is_read_and_when_it_has_its_result(self):
+        requested = [each for each in self.call("POST") if isinstance(each, Log)]
+        self.assertEqual([log_events.EVACUATION_REQUESTED], [each.number for each in requested])
+        self.api.abandon("t1")
+        effects = self.api.on_core_response("t1", ChangeResult(IN_FORCE, 7), 1.5)
+        responded = next(each for each in effects if isinstance(each, Log))
+        self.assertEqual(log_events.EVACUATION_RESPONDED, responded.number)
+        expected = {"status": IN_FORCE, "version": 7, "waited_s": 1.5, "caller_has_left": True}
+        self.assertEqual(expected, {key: responded.fields[key] for key in expected})
+
     def test_a_read_waits_for_the_version_that_a_quorum_confirmed(self):
         self.assertEqual(NO_VERSION, self.proposal(self.call("GET")).base_version)
         confirmed = ChangeResult(CONFLICT, current_version=3)
-        self.assertEqual([], self.api.on_core_response("t1", confirmed))
+        self.assertEqual([], self.api.on_core_response("t1", confirmed, 0.1))
         document = Document().accept(complete_document(0, 5, route("a")))
         self.view.view = KeyView(2, document.rows)
         self.assertEqual([], self.api.on_intent_changed(0.2))
@@ -265,14 +278,14 @@
 
     def test_a_read_without_a_quorum_is_unavailable(self):
         self.call("GET")
-        response = self.api.on_core_response("t1", ChangeResult("not-confirmed"))[0]
+        response = self.api.on_core_response("t1", ChangeResult("not-confirmed"), 0.1)[0]
         self.assertEqual(503, response.status)
 
     def test_a_change_gets_only_one_response(self):
         self.call("PUT")
-        response = self.api.on_core_response("t1", ChangeResult(IN_FORCE, 1))
+        response = self.api.on_core_response("t1", ChangeResult(IN_FORCE, 1), 0.1)
         self.assertIsInstance(response[0], ApiResponse)
-        self.assertEqual([], self.api.on_core_response("t1", ChangeResult(IN_FORCE, 1)))
+        self.assertEqual([], self.api.on_core_response("t1", ChangeResult(IN_FORCE, 1), 0.1))
 
     def test_a_call_past_its_deadline_is_unavailable(self):
         self.call("PUT")
--- a/tests/controlplane/fake_cores.py
+++ b/tests/controlplane/fake_cores.py
@@ -95,7 +95,7 @@
         effect: ApiEffect = effects[0]
         if isinstance(effect, CallCore):
             assert isinstance(effect.message, ProposeChange)
-            effect = api.on_core_response(effect.token, self._decide(effect.message))[0]
+            effect = api.on_core_response(effect.token, self._decide(effect.message), 0.0)[0]
         assert isinstance(effect, ApiResponse)
         return CoreResponse(effect.status, effect.body)
 
