Soak: an operator who empties zones, in series around a disturbed core, and the check of EVAC

Change: an operator evacuates a zone, takes it back and asks again, while a core is disturbed, most orders to that core first, a quarter of the unanswered attempts with their connection left open; the servers judge what reaches an evacuated zone from machines in touch (evacuationMs, with outerMs while the core is unstable). The words in touch and Problem move to a module that both checks use.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,19 +1,19 @@
 """What must hold of a run's history: the rules of the configuration, and a few of the requests.
 
-A machine is in touch at a moment if nothing was done to it, and the core was stable, for the whole
-contact time before. Bounds in seconds come from the settings that the processes got.
+Bounds in seconds come from the settings that the processes got.
 """
 
 from __future__ import annotations
 
-from bisect import bisect_right
 from collections import Counter
 from collections.abc import Iterator
 
 import attrs
 
 from tests.soak.documents import Document
-from tests.soak.history import Answer, ChangeRecord, History, MachineHistory, RequestRecord
+from tests.soak.evacuation_checks import evacuation_problems, refused_orders
+from tests.soak.history import Answer, ChangeRecord, History, RequestRecord
+from tests.soak.in_touch import InTouch, Problem
 from tests.soak.settings_file import BACK_S, CONFIGURATION_S, CONTACT_S, GRACE_S, OUTER_S
 
 RECOVERY_S = 12.0
@@ -22,15 +22,6 @@
 LATE_IN_GRACE_S = 3.0
 
 
-@attrs.frozen
-class Problem:
-    """A broken rule."""
-
-    rule: str
-    at: float
-    text: str
-
-
 @attrs.define
 class Staleness:
     """How late machines handled requests by an older version, after an acknowledgement."""
@@ -61,6 +52,8 @@
     verdict.problems.extend(checker.request_problems())
     verdict.problems.extend(checker.own_ends())
     verdict.problems.extend(checker.recovery_problems())
+    verdict.problems.extend(evacuation_problems(history, checker.in_touch))
+    verdict.problems.extend(refused_orders(history))
     return verdict
 
 
@@ -76,7 +69,7 @@
             change for change in self._valid if change.acknowledged_at or not change.refused_at
         ]
         self._taken.sort(key=lambda change: change.number)
-        self._core_times = sorted(history.core_disturbances)
+        self.in_touch = InTouch(history)
 
     # --- configuration in force -----------------------------------------------------------
 
@@ -95,11 +88,10 @@
             return
         lag_s = self._lag_s(request)
         staleness.any_s = max(staleness.any_s, lag_s)
-        machine = self._history.machine(request.machine)
-        if not _is_undisturbed(machine, request.sent_at, request.ended_at):
+        if not self.in_touch.is_undisturbed(request.machine, request.sent_at, request.ended_at):
             return
         staleness.undisturbed_s = max(staleness.undisturbed_s, lag_s)
-        if self._is_core_stable(request.sent_at, request.ended_at):
+        if self.in_touch.is_core_stable(request.sent_at, request.ended_at):
             staleness.in_touch_s = max(staleness.in_touch_s, lag_s)
             bound_s = CONFIGURATION_S
         else:
@@ -134,10 +126,6 @@
         refused = [each for each in self._valid if each.refused_at and not each.acknowledged_at]
         return any(_agrees(request, change.document) for change in refused)
 
-    def _is_core_stable(self, start: float, end: float) -> bool:
-        index = bisect_right(self._core_times, end)
-        return index == 0 or self._core_times[index - 1] < start - CONTACT_S
-
     def regressions(self) -> Iterator[Problem]:
         """Check that a run of a node never handles by an older version than it did before."""
         newest: dict[tuple[str, int], tuple[int, float]] = {}
@@ -281,12 +269,3 @@
     if request.answer is Answer.NOT_FOUND:
         return not services
     return request.service in services
-
-
-def _is_undisturbed(machine: MachineHistory, start: float, end: float) -> bool:
-    if any(start - CONTACT_S <= at <= end for at in machine.disturbances):
-        return False
-    return not any(
-        interval[0] <= end and (len(interval) == 1 or interval[1] >= start - CONTACT_S)
-        for interval in machine.down
-    )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -21,6 +21,7 @@
     "freeze-core": 9,
     "freeze-nodes": 5,
     "roll": 6,
+    "stop-core": 8,
     "stop-some": 6,
     "hang-up": 8,
     "hang-up-after-start": 4,
@@ -128,6 +129,8 @@
                 await self._freeze(self._some(fault, 0.3, without_cores=True), fault.seconds)
             case "roll":
                 await self._roll(self._some(fault, 1.0), 0.3 + fault.strength)
+            case "stop-core":
+                self._fleet.terminate(self._core(fault))
             case "stop-some":
                 for name in self._some(fault, 0.3):
                     self._fleet.terminate(name)
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -77,6 +77,20 @@
     at_end: bool = False
 
 
+@attrs.define
+class EvacuationRecord:
+    """One order to evacuate a zone, or to return it to service, and its attempts."""
+
+    zone: str
+    evacuated: bool
+    first_sent_at: float
+    acknowledged_at: float | None = None
+    acknowledged_by: str = ""
+    attempts: list[tuple[str, float, float, int]] = attrs.field(factory=list)
+    """Core, start, end and status of each attempt; the status is 0 without an answer."""
+    refused_with: list[int] = attrs.field(factory=list)
+
+
 @attrs.frozen
 class ServerRun:
     """A server began to run a request."""
@@ -84,6 +98,7 @@
     at: float
     request_id: str
     service: str
+    zone: str = ""
 
 
 @attrs.frozen
@@ -119,6 +134,7 @@
 
     changes: list[ChangeRecord] = attrs.field(factory=list)
     reads: list[ReadRecord] = attrs.field(factory=list)
+    evacuations: list[EvacuationRecord] = attrs.field(factory=list)
     requests: list[RequestRecord] = attrs.field(factory=list)
     runs: list[ServerRun] = attrs.field(factory=list)
     ends: list[ProcessEnd] = attrs.field(factory=list)
@@ -193,5 +209,16 @@
             }
             for change in self.changes
         ]
+        rows += [
+            {
+                "at": round(order.first_sent_at, 3),
+                "kind": "evacuation",
+                "zone": order.zone,
+                "evacuated": order.evacuated,
+                "acknowledged": order.acknowledged_at,
+                "by": order.acknowledged_by,
+            }
+            for order in self.evacuations
+        ]
         rows.sort(key=lambda row: row["at"])
         path.write_bytes(b"".join(orjson.dumps(row) + b"\n" for row in rows))
--- a/tests/soak/http_calls.py
+++ b/tests/soak/http_calls.py
@@ -70,9 +70,19 @@
             raise NotSentError(repr(error)) from error
 
     async def call(
-        self, method: str, path: str, headers: dict[str, str], body: bytes, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout_s: float,
+        *,
+        closes_late: bool = True,
     ) -> HttpAnswer:
-        """Send one request over the open connection; raises `NotSentError` or `CutError`."""
+        """Send one request over the open connection; raises `NotSentError` or `CutError`.
+
+        Without an answer in time the connection is closed, but only if `closes_late`.
+        """
         if self._writer is None or self._reader is None:
             raise NotSentError("not connected")
         lines = [
@@ -84,7 +94,8 @@
         try:
             answer = await asyncio.wait_for(self._read(), timeout_s)
         except TimeoutError as error:
-            self.close()
+            if closes_late:
+                self.close()
             raise CutError("no answer in time", timed_out=True) from error
         except (OSError, httptools.HttpParserError) as error:
             self.close()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,9 +21,11 @@
 import attrs
 
 from tests.soak.callers import Callers
-from tests.soak.checks import Problem, Staleness, check
+from tests.soak.checks import Staleness, check
+from tests.soak.evacuations import EvacuationOperator
 from tests.soak.faults import CATCH_UP_S, FAULT_WEIGHTS, Fault, FaultRunner, draw_plan
 from tests.soak.history import Answer, History
+from tests.soak.in_touch import Problem
 from tests.soak.layout import MachineSpec, Network, machines
 from tests.soak.logs import count_events
 from tests.soak.machines import Fleet
@@ -34,7 +36,7 @@
 READ_BACK_S = 8.0
 """How long the operator asks for the configuration after the final fault."""
 AFTER_RECOVERY_S = 14.0
-CHANGE_GAP_S, PROBE_GAP_S, LOOKUP_GAP_S, STREAM_GAP_S = 0.25, 0.08, 0.2, 0.5
+PROBE_GAP_S, LOOKUP_GAP_S, STREAM_GAP_S = 0.08, 0.2, 0.5
 POLL_S = 0.02
 RESTART_DELAY_S = (0.05, 0.6)
 FINAL_FAULTS = ("kill-all", "wipe-and-kill-all", "replace-and-wipe", "kill-cores", "none")
@@ -49,6 +51,8 @@
     machines: int = 11
     disks: int = 3
     fault_gap_s: float = 1.6
+    change_gap_s: float = 0.25
+    """Mean pause between two changes of the configuration."""
     load: float = 1.0
     """Factor on the callers' rates."""
     only: tuple[str, ...] = ()
@@ -96,6 +100,9 @@
         )
         self._servers = Servers(self._network, self.history, self._random, time.monotonic)
         self._operators = Operators(self._fleet.cores, self.history, self._random, time.monotonic)
+        self._evacuations = EvacuationOperator(
+            self._fleet.cores, self.history, self._random, time.monotonic
+        )
         self._callers = Callers(
             lambda: self._operators.recent_routes, self.history, self._random, time.monotonic
         )
@@ -117,6 +124,7 @@
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
+            self._evacuations.close()
             self._servers.close()
             self._network.close()
 
@@ -130,7 +138,10 @@
         plan = draw_plan(self._random, options.seconds, options.fault_gap_s, kinds)
         self._spawn(self._operators.read_until(self._stop))
         changing = asyncio.Event()
-        changes = [asyncio.create_task(self._operators.change_until(changing, CHANGE_GAP_S))]
+        changes = [
+            asyncio.create_task(self._operators.change_until(changing, self.options.change_gap_s)),
+            asyncio.create_task(self._evacuations.order_until(changing)),
+        ]
         self._runner = FaultRunner(
             self._fleet,
             self.history,
@@ -141,7 +152,7 @@
             options.catch_up_s,
         )
         started_at = time.monotonic()
-        self.history.note(started_at, "load-started")
+        self.history.note(started_at, "load-started", wall_clock=time.time())
         await self._runner.run([*plan, Fault(options.seconds, "none", 0.0, 0.0)], started_at)
         changing.set()
         await asyncio.gather(*changes)
@@ -235,6 +246,8 @@
     counts = {
         "changes": sum(bool(change.acknowledged_at) for change in history.changes),
         "reads": len(history.reads),
+        "evacuations": sum(order.acknowledged_at is not None for order in history.evacuations),
+        "evacuations-given-up": sum(order.acknowledged_at is None for order in history.evacuations),
         "requests": len(history.requests),
         "ran": sum(request.answer is Answer.RAN for request in history.requests),
         "own-ends": sum(not end.by_rig for end in history.ends),
@@ -272,6 +285,7 @@
     parser.add_argument("--machines", type=int, default=11)
     parser.add_argument("--disks", type=int, default=3)
     parser.add_argument("--fault-gap", type=float, default=1.6)
+    parser.add_argument("--change-gap", type=float, default=0.25)
     parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--only", default="")
     parser.add_argument("--final-fault", default="")
@@ -287,6 +301,7 @@
             arguments.machines,
             arguments.disks,
             arguments.fault_gap,
+            arguments.change_gap,
             arguments.load,
             tuple(name for name in arguments.only.split(",") if name),
             arguments.final_fault,
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -142,7 +142,7 @@
             return
         request_id = self.request.headers.get("Request-Id", "")
         self.servers.history.runs.append(
-            ServerRun(self.servers.clock(), request_id, self.server.service)
+            ServerRun(self.servers.clock(), request_id, self.server.service, self.server.zone)
         )
         self.set_header("Request-Id", request_id)
         self.set_header("Server-Signature", f"{self.server.service}.{request_id}")
--- a/tests/soak/settings_file.py
+++ b/tests/soak/settings_file.py
@@ -14,6 +14,7 @@
 )
 
 CONTACT_S, CONFIGURATION_S, OUTER_S, BACK_S, GRACE_S = 3.0, 2.0, 5.0, 0.25, 8.0
+EVACUATION_S = 5.0
 """Bounds in seconds that the settings state and the checks use."""
 
 
@@ -53,6 +54,7 @@
 catchUpS = 4
 drainMs = 3000
 graceS = {int(GRACE_S)}
+evacuationMs = {int(EVACUATION_S * 1000)}
 configurationMs = {int(CONFIGURATION_S * 1000)}
 backMs = {int(BACK_S * 1000)}
 outerMs = {int(OUTER_S * 1000)}
