Evacuations: an attempt that was delayed never undoes a newer order

Cause: an order about an evacuation names no version, and each attempt was a change of its own without a base. A frozen core that woke applied the DELETE that it read from its socket over the newer POST; so did a core that held an attempt for up to change_timeout_s. Class: an order whose effect depends on when it is executed, executed by somebody who cannot know that its caller has gone on. Change: each zone has a revision, a row that every order raises, also one that leaves the zone as it is. Attempts of one order on one base are one change. The native API refuses a delayed change without base and key. The same cause elsewhere: the native POST /v1/intent without baseVersion and Idempotency-Key (caller and pause are checked now; within change_timeout_s it may still be late: its base version is the remedy).

--- a/src/zincvale/controlplane/api/dispatch.py
+++ b/src/zincvale/controlplane/api/dispatch.py
@@ -20,6 +20,7 @@
     read_proposal,
 )
 from zincvale.controlplane.api.messages import (
+    IDEMPOTENCY_KEY_HEADER,
     ApiEffect,
     ApiRequest,
     ApiResponse,
@@ -230,6 +231,12 @@
     def _change_intent(self, request: ApiRequest, now: float) -> list[ApiEffect]:
         _check_query(request.query, ())
         proposal = read_proposal(request, self._view.intent_rows().version)
+        is_bound = proposal.base_version is not None or request.header(IDEMPOTENCY_KEY_HEADER)
+        if request.is_delayed and not is_bound:
+            raise UnavailableError(
+                "the change may have waited in this process while it did not run",
+                "send it again, and name its base version",
+            )
         return self._call_core(request.token, proposal, proposal.idempotency_key, now)
 
     def _replace_replica(self, request: ApiRequest, now: float) -> list[ApiEffect]:
--- a/src/zincvale/controlplane/api/messages.py
+++ b/src/zincvale/controlplane/api/messages.py
@@ -38,6 +38,8 @@
     query : decoded query parameters; the last value of a repeated one.
     headers : header values by name; names are matched in any case.
     token : identifies the request in effects and later inputs.
+    is_delayed : whether the request may have waited unread while this process did not run, so that
+        its operator may have gone on to another core.
     """
 
     method: str
@@ -46,6 +48,7 @@
     headers: Mapping[str, str]
     body: bytes
     token: str
+    is_delayed: bool = False
 
     def header(self, name: str) -> str:
         """Return a header's value, or an empty string when it is absent."""
--- a/src/zincvale/controlplane/documents/changes.py
+++ b/src/zincvale/controlplane/documents/changes.py
@@ -64,17 +64,30 @@
 
 @attrs.frozen
 class EvacuationChange:
-    """Evacuate a zone, or return it to service."""
+    """Evacuate a zone, or return it to service.
+
+    Attributes
+    ----------
+    base_revision : revision of the zone's evacuation that the change is applied to. A change whose
+        base is outdated is not applied, so that an attempt that was delayed never undoes a newer
+        order. None, of an earlier release, applies to any revision and does not count as one.
+    """
 
     zone: str
     evacuated: bool
+    base_revision: int | None = None
 
 
 def encode_change(change: DocumentChange | EvacuationChange) -> bytes:
     """Return a change encoded for the owner's reducer; equal changes are equal bytes."""
     if isinstance(change, EvacuationChange):
         return orjson.dumps(
-            {"mode": EVACUATE, "zone": change.zone, "evacuated": change.evacuated},
+            {
+                "mode": EVACUATE,
+                "zone": change.zone,
+                "evacuated": change.evacuated,
+                "base": change.base_revision,
+            },
             option=orjson.OPT_SORT_KEYS,
         )
     plain = {
--- a/src/zincvale/controlplane/documents/reducer.py
+++ b/src/zincvale/controlplane/documents/reducer.py
@@ -23,6 +23,7 @@
 from zincvale.controlplane.documents.rows import (
     EVACUATED,
     EVACUATED_PREFIX,
+    EVACUATION_REVISION_PREFIX,
     LAST_CHANGE_ROW,
     LIMITS_ROW,
     NUMBER_ROW,
@@ -30,6 +31,7 @@
     POOL_PREFIX,
     ROUTE_PREFIX,
     encode_item,
+    evacuation_revision,
     item_position,
     number_of,
 )
@@ -59,8 +61,7 @@
     """Return the new content by row id, None for removed rows; raises a `ZincvaleError`."""
     plain = decode_change(change)
     if plain["mode"] == EVACUATE:
-        row = f"{EVACUATED_PREFIX}{plain['zone']}"
-        return {row: EVACUATED if plain["evacuated"] else None}
+        return _changed_evacuation(rows, plain)
     identity = change_identity(change).encode()
     if rows.get(LAST_CHANGE_ROW) == identity:
         # A retry of the change in force, whose idempotency entry was already removed.
@@ -73,6 +74,36 @@
     return changed
 
 
+def _changed_evacuation(
+    rows: Mapping[str, bytes], plain: Mapping[str, Any]
+) -> dict[str, bytes | None]:
+    """Return the rows of an evacuation; raises `VersionConflictError` if a newer change differs.
+
+    Every change counts, even one that leaves the zone as it is: it must also outdate the attempts
+    of the opposite order that were sent before it.
+    """
+    zone, is_evacuated = plain["zone"], plain["evacuated"]
+    row = f"{EVACUATED_PREFIX}{zone}"
+    content = EVACUATED if is_evacuated else None
+    base, revision = plain.get("base"), evacuation_revision(rows, zone)
+    if base is None:
+        # Forwarded by a core of an earlier release, which knows no revisions.
+        return {row: content}
+    if base != revision:
+        if (row in rows) == is_evacuated:
+            return {}
+        raise VersionConflictError(
+            f"the order was given at revision {base} of the evacuation of {zone!r}, but "
+            f"{revision} is current",
+            "send the order again if it is still wanted",
+            revision,
+        )
+    return {
+        row: content,
+        f"{EVACUATION_REVISION_PREFIX}{zone}": str(revision + 1).encode(),
+    }
+
+
 def _check_numbers(rows: Mapping[str, bytes], plain: Mapping[str, Any]) -> None:
     """Raise unless the change was built on the current document and has a higher number."""
     current = number_of(rows)
--- a/src/zincvale/controlplane/documents/rows.py
+++ b/src/zincvale/controlplane/documents/rows.py
@@ -1,6 +1,7 @@
 """Rows of the forwarding document in the control state, and their typed form.
 
-Row ids: `number`, `last-change`, `limits`, `other`, `route/NAME`, `pool/NAME`, `evacuated/ZONE`.
+Row ids: `number`, `last-change`, `limits`, `other`, `route/NAME`, `pool/NAME`, `evacuated/ZONE`,
+`evacuation-revision/ZONE`.
 A route's or pool's row contains its position in the document (JSON `place`), its spec and the item
 as the operator wrote it (JSON `source`).
 """
@@ -34,6 +35,14 @@
 EVACUATED = b"1"
 """Content of the row of an evacuated zone; a zone in service has no row."""
 
+EVACUATION_REVISION_PREFIX = "evacuation-revision/"
+"""Prefix of the rows that count the evacuation changes of each zone."""
+
+
+def evacuation_revision(rows: Mapping[str, bytes], zone: str) -> int:
+    """Return how many changes evacuated `zone` or returned it to service; no row means none."""
+    return int(rows.get(f"{EVACUATION_REVISION_PREFIX}{zone}", b"0"))
+
 
 def number_of(rows: Mapping[str, bytes]) -> int:
     """Return the number of the document in `rows`, 0 when there is none."""
--- a/src/zincvale/daemons/control_api_handler.py
+++ b/src/zincvale/daemons/control_api_handler.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+import attrs
 from tornado.concurrent import Future
 from tornado.ioloop import IOLoop
 from tornado.web import RequestHandler
@@ -14,6 +15,7 @@
 from zincvale.model.machine import Log
 from zincvale.runtime.driver import MachineDriver
 from zincvale.runtime.logs import log
+from zincvale.transport.closed_peers import is_closed_by_peer
 
 
 class OperatorApi(Protocol):
@@ -44,6 +46,14 @@
         ...
 
 
+@attrs.frozen
+class _PendingRequest:
+    """A request whose response is pending; `is_caller_connected` asks its connection."""
+
+    response: Future[ApiResponse]
+    is_caller_connected: Callable[[], bool]
+
+
 class ControlApiServer:
     """Executes the effects of the operators' API and resolves pending HTTP requests."""
 
@@ -52,19 +62,25 @@
         self._driver = driver
         self._clock = clock
         self._tokens = itertools.count(1)
-        self._pending: dict[str, Future[ApiResponse]] = {}
+        self._pending: dict[str, _PendingRequest] = {}
 
     def routes(self) -> list[tuple[str, type[RequestHandler], dict[str, Any]]]:
         """Return the tornado routes of the control API."""
         return [(r"/healthz", HealthHandler, {}), (r"/.*", ControlHandler, {"server": self})]
 
-    def open_request(self) -> tuple[str, Future[ApiResponse]]:
+    def open_request(
+        self, is_caller_connected: Callable[[], bool]
+    ) -> tuple[str, Future[ApiResponse]]:
         """Register a new request; return its token and the future of its response."""
         token = f"api-{next(self._tokens)}"
         future: Future[ApiResponse] = Future()
-        self._pending[token] = future
+        self._pending[token] = _PendingRequest(future, is_caller_connected)
         return token, future
 
+    def may_be_delayed(self) -> bool:
+        """Whether a request that is read now may have arrived while the process did not run."""
+        return self._driver.may_read_delayed_requests()
+
     def submit(self, request: ApiRequest) -> None:
         """Submit one request to the API machine."""
         self._execute(self._api.handle(request, self._clock()))
@@ -93,11 +109,16 @@
                     log(number, **fields)
 
     def _resolve(self, token: str, response: ApiResponse) -> None:
-        future = self._pending.pop(token, None)
-        if future is not None and not future.done():
-            future.set_result(response)
+        pending = self._pending.pop(token, None)
+        if pending is not None and not pending.response.done():
+            pending.response.set_result(response)
 
     async def _call_core(self, effect: CallCore) -> None:
+        pending = self._pending.get(effect.token)
+        if pending is None or not pending.is_caller_connected():
+            # The caller may have given newer orders to another core: nothing begins for it here.
+            self.abandon(effect.token)
+            return
         reply = await self._driver.call_local(effect.message)
         if reply is None:
             self._execute(self._api.on_core_failure(effect.token, "the core did not reply"))
@@ -124,7 +145,7 @@
 
     async def prepare(self) -> None:
         """Respond to the request, whatever its method; tornado then runs no method of its own."""
-        self._token, future = self.server.open_request()
+        self._token, future = self.server.open_request(self._is_caller_connected)
         self.server.submit(self._api_request())
         response = await future
         self.set_status(response.status)
@@ -137,6 +158,13 @@
         if self._token:
             self.server.abandon(self._token)
 
+    def _is_caller_connected(self) -> bool:
+        """Whether the caller has not closed its connection, also if that was not read yet."""
+        stream = getattr(self.request.connection, "stream", None)
+        if stream is None or stream.closed():
+            return False
+        return not is_closed_by_peer(stream.socket)
+
     def _api_request(self) -> ApiRequest:
         request = self.request
         query = {
@@ -150,4 +178,5 @@
             headers=dict(request.headers),
             body=request.body,
             token=self._token,
+            is_delayed=self.server.may_be_delayed(),
         )
