--- a/src/zincvale/daemons/control_api_handler.py
+++ b/src/zincvale/daemons/control_api_handler.py
@@ -79,7 +79,7 @@
 
     def may_be_delayed(self) -> bool:
         """Whether a request that is read now may have arrived while the process did not run."""
-        return self._driver.may_read_delayed_requests()
+        return self._driver.pauses.may_read_delayed_requests()
 
     def submit(self, request: ApiRequest) -> None:
         """Submit one request to the API machine."""
--- a/src/zincvale/runtime/driver.py
+++ b/src/zincvale/runtime/driver.py
@@ -30,6 +30,7 @@
 )
 from zincvale.runtime import log_events
 from zincvale.runtime.logs import log
+from zincvale.runtime.pauses import PauseDetector
 from zincvale.transport.peer import PeerCaller, PeerCallError
 
 TICK_INTERVAL_MS = 50
@@ -37,12 +38,6 @@
 CLOCK_JUMP_GAP_S = 0.9
 """Longest gap between two readings of the clock that does not count as a freeze: half a member
 lease."""
-PAUSE_GAP_S = 0.4
-"""Longest gap between two readings of the clock that does not count as a pause, after which
-received requests may be outdated: a caller without a response goes on to another process after a
-second."""
-SETTLE_S = 0.25
-"""Time after a pause in which requests are read that had arrived during it."""
 LOCAL_TOKEN_PREFIX = "local-"
 """Distinguishes the tokens of calls within the process from those of peers."""
 
@@ -97,12 +92,12 @@
         self._inputs: deque[Input] = deque()
         self._is_running = False
         self._last_input_at = clock()
-        self._last_pause_ended_at = float("-inf")
         self._local_tokens = itertools.count(1)
         self._local_calls: dict[str, Future[Any]] = {}
         self._captured_sender: MemberId | None = None
         self._captured_messages: list[Any] = []
-        self._ticker = PeriodicCallback(lambda: self.submit(Tick()), tick_interval_ms)
+        self.pauses = PauseDetector(clock, lambda call: IOLoop.current().add_callback(call))
+        self._ticker = PeriodicCallback(self._tick, tick_interval_ms)
 
     def start(self) -> None:
         """Start the periodic tick."""
@@ -117,12 +112,6 @@
         """Time of the last submitted input, at which the process was certainly running."""
         return self._last_input_at
 
-    def may_read_delayed_requests(self) -> bool:
-        """Whether a request that is read now may have arrived while the process did not run."""
-        now = self._clock()
-        is_after_pause = now - self._last_input_at > PAUSE_GAP_S
-        return is_after_pause or now - self._last_pause_ended_at < SETTLE_S
-
     def submit(self, event: Input) -> None:
         """Pass one input to the machine and execute its effects before returning.
 
@@ -163,13 +152,15 @@
         self.submit(CallReceived(self._own_id, token, message))
         return await future
 
+    def _tick(self) -> None:
+        self.pauses.on_tick()
+        self.submit(Tick())
+
     def _detect_clock_jump(self) -> None:
         """Queue `ClockJumped` ahead of the inputs that arrived during a freeze."""
         now = self._clock()
         gap = now - self._last_input_at
         self._last_input_at = now
-        if gap > PAUSE_GAP_S:
-            self._last_pause_ended_at = now
         if gap > CLOCK_JUMP_GAP_S:
             log(log_events.CLOCK_JUMPED, gap_s=round(gap, 3))
             self._inputs.append(ClockJumped(gap))
--- a/tests/runtime/test_driver.py
+++ b/tests/runtime/test_driver.py
@@ -19,7 +19,7 @@
     Write,
     WriteCompleted,
 )
-from zincvale.runtime.driver import PAUSE_GAP_S, SETTLE_S, MachineDriver
+from zincvale.runtime.driver import MachineDriver
 
 OWN = MemberId("core-1")
 PEER = MemberId("core-2")
@@ -69,16 +69,6 @@
             self.machine.inputs, Equals([ClockJumped(25.0), MessageReceived(PEER, "late")])
         )
 
-    def test_requests_may_be_delayed_after_a_pause_until_those_of_the_pause_are_read(self) -> None:
-        self.clock.now += PAUSE_GAP_S - 0.01
-        self.assertFalse(self.driver.may_read_delayed_requests())
-        self.clock.now += 0.1
-        self.assertTrue(self.driver.may_read_delayed_requests())
-        self.driver.submit(MessageReceived(PEER, "tick"))
-        self.assertTrue(self.driver.may_read_delayed_requests())
-        self.clock.now += SETTLE_S
-        self.assertFalse(self.driver.may_read_delayed_requests())
-
     def test_a_failed_write_is_reported_to_the_machine(self) -> None:
         self.machine.effects[MessageReceived] = [Write("w1", "intent", 1, b"x")]
         self.driver.submit(MessageReceived(PEER, "go"))
