Membership: cores look for each other for as long as a declared replica is not heard

Cause: a core without replica sets sent heartbeats to its seeds only until it had heard any heartbeat, its own included. A core that replaced a lost one while its zone was cut off read seeds that name itself, heard itself and never looked again; the others, whose replica sets name the lost machine, asked nobody. The next loss took the majority. Class: a first contact that ends for good at the first sign of life, whoever gave it. Change: the seeds at unknown addresses are contacted while a declared replica is not heard, by newcomers (who know no replica sets) and by members alike; a process ignores its own heartbeat. With every replica heard nothing is sent to seeds. The same cause elsewhere: standbys and nodes go back to their seeds whenever their core or lease is silent, looked at and left; a newcomer that hears only another newcomer, and a member whose seeds alone name the successor, were of the class and have tests.

--- a/src/zincvale/coordination/core/dispatch.py
+++ b/src/zincvale/coordination/core/dispatch.py
@@ -103,6 +103,9 @@
     components: CoreComponents, sender: MemberId, message: object, now: float
 ) -> list[Effect]:
     """Process a message about the cores themselves; pass any other message on."""
+    if sender == components.context.own_id and isinstance(message, Heartbeat | UnchangedHeartbeat):
+        # It came through an address that names this process; it tells nothing about another core.
+        return []
     match message:
         case Heartbeat():
             return _handle_heartbeat(components, sender, message, now)
--- a/src/zincvale/coordination/membership/heartbeats.py
+++ b/src/zincvale/coordination/membership/heartbeats.py
@@ -71,7 +71,7 @@
         full = self._assign_number(self._heartbeat(now))
         unchanged = UnchangedHeartbeat(full.info.incarnation, full.number, full.topics)
         effects: list[Effect] = []
-        for member in self._targets():
+        for member in self._targets(now):
             effects.append(Send(member, unchanged if member in self._sent_full_to else full))
             if not member.startswith(RAW_ADDRESS_PREFIX):
                 self._sent_full_to.add(member)
@@ -111,11 +111,24 @@
             leased_roles=self._leased_roles(now),
         )
 
-    def _targets(self) -> list[MemberId]:
-        """Return the other cores; also the seeds until replica sets or a heartbeat are known."""
+    def _targets(self, now: float) -> list[MemberId]:
+        """Return the other cores; also the unknown seeds while a declared replica is not heard.
+
+        A replica that is not heard may have been replaced, and its successor may know only seeds
+        that are out of date. Therefore both sides look for each other, for as long as that lasts.
+        """
+        known = self._context.cores.known_cores()
+        return known if self._hears_every_replica(now) else [*known, *self._unknown_seeds(known)]
+
+    def _hears_every_replica(self, now: float) -> bool:
+        replicas = self._context.replica_sets.grantors().members()
+        return bool(replicas) and all(
+            self._context.cores.is_live(member, now) for member in replicas
+        )
+
+    def _unknown_seeds(self, known: list[MemberId]) -> list[MemberId]:
+        """Return the seeds that are the address of neither a known core nor this one."""
         context = self._context
-        targets = context.cores.known_cores()
-        if context.replica_sets.cores or context.cores.live(context.started_at):
-            return targets
-        seeds = [member_at(seed) for seed in context.config.seeds]
-        return [*targets, *seeds]
+        addresses = {context.cores.address_of(member) for member in known}
+        addresses.add(context.config.peer_address)
+        return [member_at(seed) for seed in context.config.seeds if seed not in addresses]
