Placement: a retired model of unknown size occupies all memory that the others leave

Cause: a core that starts after a model was retired learns its name from the server and not its size, and counted 0 bytes. Class: what is not known counted as nothing where the safe value is the largest. Change: such a replica is bounded by the memory that the loaded replicas of known size leave; the least bound holds, and a declaration brings the size back. Where a server reports its memory use, that tells already.

--- a/src/zincvale/controlplane/placement/apply_intent.py
+++ b/src/zincvale/controlplane/placement/apply_intent.py
@@ -18,6 +18,7 @@
 from zincvale.controlplane.placement.servers import CountedAs, ServerState
 from zincvale.controlplane.placement.state import PlacementState
 from zincvale.controlplane.placement.stores import StoreState
+from zincvale.controlplane.placement.unknown_sizes import bound_unknown_sizes
 from zincvale.model.control_tables import Intent
 from zincvale.model.identifiers import (
     Address,
@@ -185,6 +186,7 @@
         replica = server.replicas[item.key]
         placement.resize_replica(server, replica, item)
         placement.recount_replica(server, item.key, replica)
+        bound_unknown_sizes(placement, server)
     placement.queue_review(item.key)
 
 
--- a/src/zincvale/controlplane/placement/apply_status.py
+++ b/src/zincvale/controlplane/placement/apply_status.py
@@ -27,6 +27,7 @@
 )
 from zincvale.controlplane.placement.servers import NEVER, Replica, ReplicaState, ServerState
 from zincvale.controlplane.placement.state import PlacementState
+from zincvale.controlplane.placement.unknown_sizes import bound_unknown_sizes
 from zincvale.model.control_tables import ServerHealth, ServerRow
 from zincvale.model.identifiers import ServerId
 from zincvale.model.resources import PoolKind
@@ -183,13 +184,14 @@
     for key, state in reported.items():
         replica = server.replicas.get(key)
         if replica is None:
-            _add_reported(placement, server, key, state, now)
+            _add_reported(placement, server, key, state, report.row, now)
         else:
             observed = _ReportedReplica(server, key, replica, state, report.requested_at)
             _apply_reported(placement, observed, now)
     if len(server.replicas) > len(reported):
         for key in [key for key in server.replicas if key not in reported]:
             _apply_unreported(placement, server, key, report.requested_at, now)
+    bound_unknown_sizes(placement, server)
     listed = [server.replicas[key] for key in reported if key in server.replicas]
     server.listed_bytes = sum(replica.item_bytes for replica in listed)
     return len(server.replicas) == len(listed) == len(reported)
@@ -223,13 +225,21 @@
 
 
 def _add_reported(
-    placement: PlacementState, server: ServerState, key: ItemKey, state: ReplicaState, now: float
+    placement: PlacementState,
+    server: ServerState,
+    key: ItemKey,
+    state: ReplicaState,
+    row: ServerRow,
+    now: float,
 ) -> None:
     """Add a replica that the status shows and the tables lack."""
     item = placement.items.get(key)
     if item is None:
         placement.undeclared.add(key, server.server, placement.config.undeclared_grace_s, now)
-        placement.add_replica(server, key, Replica(state, 0, 0, now))
+        # A server's reported memory use contains the replica (`unexplained_bytes`).
+        is_size_known = row.used_bytes > 0
+        replica = Replica(state, 0, 0, now, is_size_known=is_size_known)
+        placement.add_replica(server, key, replica)
         if placement.leadership.is_leader:
             placement.log(log_events.UNDECLARED_REPLICA, server=server.server, name=key)
         return
--- a/src/zincvale/controlplane/placement/servers.py
+++ b/src/zincvale/controlplane/placement/servers.py
@@ -43,13 +43,15 @@
 
     Attributes
     ----------
-    item_bytes : size of the weights.
+    item_bytes : size of the weights; an upper bound while `is_size_known` is false.
     since : when the current state began.
     draining : nodes are told to send no new requests to it.
     move_id : the planned or running move that loads or unloads it.
     contradicted_at : arrival of the first status that does not show the effect of the order; see
         `order_confirmation`.
     is_prefetched : it was loaded to put the weights on the server's disk, not for requests.
+    is_size_known : false for an item that no resource has declared since this process started, on a
+        server that does not report its memory use.
     """
 
     state: ReplicaState
@@ -61,6 +63,7 @@
     move_id: MoveId | None = None
     contradicted_at: float | None = None
     is_prefetched: bool = False
+    is_size_known: bool = True
 
 
 @attrs.define(eq=False)
--- a/src/zincvale/controlplane/placement/state.py
+++ b/src/zincvale/controlplane/placement/state.py
@@ -271,6 +271,7 @@
         server.reserved_kv_bytes += item.kv_bytes - replica.kv_bytes
         replica.item_bytes = item.weight_bytes
         replica.kv_bytes = item.kv_bytes
+        replica.is_size_known = True
         self.free_memory.mark_stale(server)
 
     def set_draining(
