Leases: a node that stops in an orderly way gives up its lease and holds up no acknowledgement

In a roll of all nodes each acknowledgement waited for the leases that were just lapsing. Cause: a stopped node looks like one that is cut off. Its lease must run out, and it stays in the registered majority for 60 s; the change that removes it needs that majority too. Class: a planned end that is told to nobody. Change: after its drain a node sends LeaseReleased to every granting core and from then on refuses requests, renews nothing and gives no evidence. The cores drop the lease, ignore late renewals of that run, and count the node as confirming until a later run renews; after 5 s the registry drops it, and it is not invited. The simulator has the fault stop, drawn with the others.

--- a/src/zincvale/coordination/core/dispatch.py
+++ b/src/zincvale/coordination/core/dispatch.py
@@ -23,6 +23,7 @@
 from zincvale.coordination.leases.messages import (
     LeaseGranted,
     LeaseRedirect,
+    LeaseReleased,
     NodeGrant,
     RelayedGrant,
     RelayedGrants,
@@ -135,6 +136,9 @@
         case RenewLease():
             response = _renew(components, message, now)
             return [Send(sender, response), *components.member_leases.report_if_all_applied(now)]
+        case LeaseReleased(member, incarnation):
+            components.member_leases.grantor.release(member, incarnation)
+            return components.member_leases.report_if_all_applied(now)
         case RelayedRenewal(renewal):
             return _handle_relayed_renewal(components, sender, renewal, now)
         case RelayedRenewals():
--- a/src/zincvale/coordination/leases/core_leases.py
+++ b/src/zincvale/coordination/leases/core_leases.py
@@ -50,6 +50,8 @@
         context.cores.record_address(renewal.info)
         if not self.caught_up or not context.is_voter() or now < context.grants_blocked_until:
             return LeaseRedirect(self.core_infos(), "this core cannot grant yet")
+        if self.grantor.has_departed(renewal.info):
+            return LeaseRedirect(self.core_infos(), "this run has released its lease")
         knows_replica_sets = renewal.config_version == context.replica_sets.version
         return LeaseGranted(
             requested_at=renewal.requested_at,
--- a/src/zincvale/coordination/leases/lease_grantor.py
+++ b/src/zincvale/coordination/leases/lease_grantor.py
@@ -5,6 +5,9 @@
 every node with a live lease here has applied a version, no later grant of this core is valid for a
 node that lacks it.
 
+A node that has released its lease confirms every version until a later run of it renews: it serves
+nothing, and it gives evidence of a partition only after a lease that starts anew.
+
 Three races are handled here:
 
 - Renewals may arrive out of order. A renewal older than one already received does not change the
@@ -84,6 +87,8 @@
         self.leases: dict[str, LeaseRecord] = {}
         self._replaced_leases: list[LeaseRecord] = []
         """Leases of former processes of restarted nodes, which may still be in use."""
+        self.departed: dict[str, str] = {}
+        """The incarnations of the nodes that have released their leases."""
         self._chosen_versions: dict[str, _ChosenVersion] = {}
         self._stale_members: dict[str, set[str]] = {}
         self.applied_versions_changed = False
@@ -111,6 +116,7 @@
         change the lease: the node may have given evidence of a partition between the two.
         """
         member = renewal.info.member
+        self.departed.pop(member, None)
         before = self.leases.get(member)
         if (
             before is not None
@@ -142,19 +148,33 @@
         self._record_changes(member, before, after)
         return required
 
+    def release(self, member: str, incarnation: str) -> None:
+        """Remove the lease of a node that has stopped; a later run of it may be here already."""
+        lease = self.leases.get(member)
+        if lease is not None and lease.info.incarnation == incarnation:
+            self.departed[member] = incarnation
+            self._remove_leases([member])
+
+    def has_departed(self, info: MemberInfo) -> bool:
+        """Whether this run of a node has released its lease; renewals of it may arrive late."""
+        return self.departed.get(info.member) == info.incarnation
+
     def expire(self, now: float) -> None:
         """Remove the leases whose grants have all expired."""
         self._replaced_leases = [
             lease for lease in self._replaced_leases if now < lease.granted_until
         ]
         expired = [member for member, lease in self.leases.items() if now >= lease.granted_until]
-        for member in expired:
+        if expired:
+            self._remove_leases(expired)
+
+    def _remove_leases(self, members: list[str]) -> None:
+        for member in members:
             del self.leases[member]
             for stale_members in self._stale_members.values():
                 stale_members.discard(member)
-        if expired:
-            self.members_changed.update(expired)
-            self.applied_versions_changed = True
+        self.members_changed.update(members)
+        self.applied_versions_changed = True
 
     def has_stale_members(self) -> bool:
         """Whether any node with a lease lacks a chosen version."""
@@ -173,7 +193,13 @@
         return min([chosen, *applied])
 
     def confirming_nodes(self, versions: dict[str, int], now: float) -> list[str]:
-        """Return the nodes with a live lease that have applied `versions` and may confirm them."""
+        """Return the nodes that confirm `versions`: with a live lease and them, or departed."""
+        return [
+            *self.departed,
+            *self._confirming_holders(versions, now),
+        ]
+
+    def _confirming_holders(self, versions: dict[str, int], now: float) -> list[str]:
         return [
             member
             for member, lease in self.leases.items()
--- a/src/zincvale/coordination/leases/messages.py
+++ b/src/zincvale/coordination/leases/messages.py
@@ -53,6 +53,18 @@
     """The newest fencing epoch of any role that the core knows."""
 
 
+@peer_message("lease.release")
+@attrs.frozen
+class LeaseReleased:
+    """A stopping node gives up its lease: this run of it serves and confirms nothing any more.
+
+    It is sent only when no evidence of a partition that the node gave can still be in use.
+    """
+
+    member: str
+    incarnation: str
+
+
 @peer_message("lease.relay")
 @attrs.frozen
 class RelayRenewal:
--- a/src/zincvale/coordination/membership/registry_reconciler.py
+++ b/src/zincvale/coordination/membership/registry_reconciler.py
@@ -21,6 +21,10 @@
 """Interval between two invitations of a node without a lease, in seconds. It limits how long a node
 with outdated seeds can fail to find the cores."""
 
+DEPARTED_DEREGISTER_S = 5.0
+"""Time without a lease after which a node that released it is removed; most return within it, and a
+removal and a return are two changes that every node applies."""
+
 
 class RegistryReconciler:
     """Determines the registry's next change, and invites registered nodes without a lease."""
@@ -66,7 +70,7 @@
         self._invite_at = now + INVITATION_INTERVAL_S
         effects: list[Effect] = []
         for node, value in self._registry_rows().items():
-            if node in self._grantor.leases:
+            if node in self._grantor.leases or node in self._grantor.departed:
                 continue
             if self._context.cores.address_of(MemberId(node)) is None:
                 address = Address(registry.decode_row(value).peer_address)
@@ -79,17 +83,20 @@
         return table.rows if table is not None else {}
 
     def _nodes_to_remove(self, registry_rows: Rows, now: float) -> list[str]:
-        """Return the registered nodes that had no lease for more than `node_deregister_s`."""
+        """Return the registered nodes that had no lease for too long."""
         for member in self._grantor.leases:
             self._without_lease_since.pop(member, None)
-        limit_s = self._context.config.timings.node_deregister_s
         return [
             member
             for member in registry_rows
             if member not in self._grantor.leases
-            and now - self._without_lease_since.setdefault(member, now) > limit_s
+            and now - self._without_lease_since.setdefault(member, now) > self._deregister_s(member)
         ]
 
+    def _deregister_s(self, member: str) -> float:
+        limit_s = self._context.config.timings.node_deregister_s
+        return min(limit_s, DEPARTED_DEREGISTER_S) if member in self._grantor.departed else limit_s
+
 
 def _differs_from_registry(info: MemberInfo, value: bytes | None) -> bool:
     """Whether a node is not registered, or is registered with another address or zone."""
--- a/src/zincvale/coordination/node/machine.py
+++ b/src/zincvale/coordination/node/machine.py
@@ -22,6 +22,7 @@
     LeaseGranted,
     LeaseGrants,
     LeaseRedirect,
+    LeaseReleased,
     PartitionEvidence,
     PartitionProbe,
     RelayedGrant,
@@ -48,6 +49,7 @@
     Log,
     MessageReceived,
     Send,
+    ShutdownRequested,
     Tick,
 )
 
@@ -110,11 +112,17 @@
         self._had_lease = False
         self._renewals_before_lease = 0
         self._has_poll_response = False
+        self._has_left = False
+        """Whether this node has given up its lease for good, because its process ends."""
 
     # --- inputs ---------------------------------------------------------------------------
 
     def handle(self, event: Input, now: float) -> list[Effect]:
         """Apply one input and return the resulting effects."""
+        if self._has_left:
+            return []
+        if isinstance(event, ShutdownRequested):
+            return self._leave(now)
         effects = self._handle_one(event, now)
         effects.extend(self._report_readiness_change(now))
         effects.extend(self._poll_client.take_logs())
@@ -154,6 +162,18 @@
                 return [Log(log_events.CLOCK_JUMPED, {"gap_s": round(gap_s, 3)})]
         return []
 
+    def _leave(self, now: float) -> list[Effect]:
+        """Give up the lease, so that no change waits until it expires.
+
+        Evidence that this node gave may still let another one serve; its versions must then not
+        count as confirmed, so the lease expires instead.
+        """
+        self._has_left = True
+        if not self._partition_guard.may_confirm(now):
+            return []
+        released = LeaseReleased(self._config.member, self._config.incarnation)
+        return [Send(core, released) for core in self._lease.grantors()]
+
     def _handle_message(self, sender: MemberId, message: object, now: float) -> list[Effect]:
         match message:
             case LeaseGranted():
@@ -379,6 +399,8 @@
 
     def fresh(self, now: float) -> bool:
         """Whether no version newer than those applied here can have been acknowledged."""
+        if self._has_left:
+            return False
         if self._has_lease(now):
             return True
         if not self._had_lease:
--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -249,7 +249,10 @@
         if now - self._stop_requested_at >= self._drain_limit_s - FINAL_REFUSAL_S:
             self._service.refuse_pending()
         min_drain_passed = now - self._drain_started_at >= MIN_DRAIN_S
-        return min_drain_passed and not self._service.active_requests
+        if not min_drain_passed or self._service.active_requests:
+            return False
+        self._service.refuse_new_requests()
+        return True
 
 
 class _ReadyHandler(RequestHandler):
--- a/src/zincvale/daemons/node_assembly.py
+++ b/src/zincvale/daemons/node_assembly.py
@@ -18,6 +18,7 @@
 from zincvale.coordination.node.machine import NodeMachine
 from zincvale.daemons.process import Drain, build_process
 from zincvale.model.identifiers import Address, MemberId, ZoneName
+from zincvale.model.machine import ShutdownRequested
 from zincvale.runtime.clock import suspend_aware_now, wall_now
 from zincvale.runtime.incarnation import new_incarnation
 from zincvale.runtime.logs import log
@@ -29,6 +30,9 @@
 """Interval between two ticks of the coordination machine. It may delay a lease renewal, due every
 600 ms, by this much; a shorter one would cost an idle node more processor time."""
 
+LEAVE_S = 0.1
+"""How long a node that has given up its lease still runs, so that the cores learn it."""
+
 
 @attrs.frozen(kw_only=True)
 class NodeOptions:
@@ -83,6 +87,7 @@
         self.member = MemberId(settings.member_id)
         self.zone = ZoneName(settings.zone)
         self._handler = handler
+        self._left_at: float | None = None
         self.machine = NodeMachine(
             node_config(settings, self.incarnation, options), self.random, self.clock()
         )
@@ -109,11 +114,20 @@
         self._ticker = PeriodicCallback(self._tick, options.services_tick_ms)
 
     def run(self, drain: Drain) -> None:
-        """Serve until SIGTERM or SIGINT, then drain."""
+        """Serve until SIGTERM or SIGINT, then drain and give up the lease."""
         self._ticker.start()
-        self.process.run(drain)
+        self.process.run(attrs.evolve(drain, is_done=lambda: self._has_left(drain)))
         self._ticker.stop()
 
+    def _has_left(self, drain: Drain) -> bool:
+        """Whether the drain is done and the cores have had time to learn it."""
+        if not drain.is_done():
+            return False
+        if self._left_at is None:
+            self._left_at = self.clock()
+            self.process.driver.submit(ShutdownRequested())
+        return self.clock() - self._left_at >= LEAVE_S
+
     def _after_input(self) -> None:
         self._handler.on_changes(self.machine.take_changes())
 
--- a/src/zincvale/dataplane/forwarding/service.py
+++ b/src/zincvale/dataplane/forwarding/service.py
@@ -86,6 +86,7 @@
         self._member = config.member
         self._clock = clock
         self.is_draining = False
+        self._refuses_new_requests = False
         self._draining_since = 0.0
         self._process_ends_at = 0.0
         self._deferred: list[_DeferredRequest] = []
@@ -121,6 +122,9 @@
 
     def handle_request(self, incoming: IncomingRequest, sink: CallerSink) -> CallerHandle | None:
         """Begin a request or respond to it at once; returns None when nothing is left to cancel."""
+        if self._refuses_new_requests:
+            _reply(sink, UNAVAILABLE, "this node is about to stop", STOPPING_RETRY_AFTER_S)
+            return None
         deferred = _DeferredRequest(self, incoming, sink)
         loop = asyncio.get_running_loop()
         if not self.routing.is_configured:
@@ -197,6 +201,11 @@
         self._draining_since = not_before
         self._process_ends_at = not_before + limit_s
 
+    def refuse_new_requests(self) -> None:
+        """Refuse deferred and further requests: the node gives up its lease and must not serve."""
+        self._refuses_new_requests = True
+        self.refuse_pending()
+
     def refuse_pending(self) -> None:
         """End the wait of every deferred or pending request; those that never ran are refused, so
         that their callers may retry at another node."""
--- a/src/zincvale/simulator/cluster/faults.py
+++ b/src/zincvale/simulator/cluster/faults.py
@@ -5,16 +5,22 @@
 import errno
 from collections.abc import Callable
 
+import attrs
+
+from zincvale.model.machine import ShutdownRequested
 from zincvale.simulator.cluster.cluster import Cluster
 from zincvale.simulator.cluster.network import Link, LinkConditions, one_way_links, two_way_links
 from zincvale.simulator.cluster.operations import resolve_members
 from zincvale.simulator.cluster.operators import Operators
+from zincvale.simulator.cluster.process import Process
 from zincvale.simulator.schedules.schedule import Step
 
 Fault = Callable[[Operators, Cluster, Step], None]
 
 DEGRADED_JITTER_S = 0.15
 """Jitter of a link whose conditions are degraded."""
+STOP_S = 0.1
+"""Time from an orderly stop's last word to the end of the process."""
 SLOW_DELAY_S = 0.25
 """Base delay of the messages that a slowed member sends."""
 
@@ -81,6 +87,17 @@
         _schedule_start(cluster, member, step)
 
 
+def stop(_operators: Operators, cluster: Cluster, step: Step) -> None:
+    """Stop processes in an orderly way, end them soon after and restart them after `for_s`."""
+    simulation = cluster.simulation
+    for member in resolve_members(cluster, step.members):
+        process = cluster.running_process(member)
+        if process is not None:
+            simulation.feed(process, ShutdownRequested())
+            simulation.schedule(simulation.now + STOP_S, _kill_if_same, cluster, process)
+            _schedule_start(cluster, member, attrs.evolve(step, for_s=STOP_S + step.for_s))
+
+
 def lose_power(_operators: Operators, cluster: Cluster, step: Step) -> None:
     """Cut the power of machines and restart their daemons after `for_s`."""
     for member in resolve_members(cluster, step.members):
@@ -140,6 +157,11 @@
         simulation.schedule(simulation.now + step.for_s, setattr, disk, "failure", 0)
 
 
+def _kill_if_same(cluster: Cluster, process: Process) -> None:
+    if cluster.running_process(process.member) is process:
+        cluster.kill(process.member)
+
+
 def _schedule_start(cluster: Cluster, member: str, step: Step) -> None:
     simulation = cluster.simulation
     simulation.schedule(simulation.now + step.for_s, _start_if_still_member, cluster, member)
@@ -157,6 +179,7 @@
     "slow": delay_messages,
     "freeze": freeze,
     "kill": kill,
+    "stop": stop,
     "lose-power": lose_power,
     "lose-disk": lose_disk,
     "lose-disk-on-acknowledgement": lose_disk_on_acknowledgement,
--- a/src/zincvale/simulator/schedules/drawing.py
+++ b/src/zincvale/simulator/schedules/drawing.py
@@ -146,6 +146,12 @@
     return Step(at_s, action, members, (), for_s)
 
 
+def _draw_stop(source: random.Random, nodes: list[str], at_s: float) -> Step:
+    """Draw an orderly stop of one member, of some nodes or of all nodes."""
+    members = source.choice((_draw_member(source, nodes), _draw_group(source, nodes), tuple(nodes)))
+    return Step(at_s, "stop", members, (), round(_draw_duration_s(source) * 0.5, 2))
+
+
 def _draw_disk_failure(source: random.Random, _nodes: list[str], at_s: float) -> Step:
     action = source.choice(("fill-disk", "break-disk"))
     return Step(at_s, action, _draw_group(source, list(CORES)), (), _draw_duration_s(source))
@@ -163,6 +169,7 @@
     (_draw_link_conditions, 2),
     (_draw_freeze, 3),
     (_draw_kill, 3),
+    (_draw_stop, 2),
     (_draw_disk_failure, 2),
     (_draw_disk_loss, 3),
 )
--- a/tests/coordination/simulated_cluster.py
+++ b/tests/coordination/simulated_cluster.py
@@ -184,6 +184,10 @@
             if callee[:2] == (member, process.number):
                 self._fail_call(callee, caller)
 
+    def deliver(self, member: str, event: Input) -> None:
+        """Pass an input of its own process to a machine, and send what it sends."""
+        self._handle_input(self.processes[member], event)
+
     def lose_disk(self, member: str) -> None:
         del self.disks[member]
 
