Stopping: a late request begins only if its own time limit ends before the process

Cause: until 5.5 s after the signal a node began whatever recent response times allowed, and a slow server makes those worthless. Class: a promise kept by an estimate. Change: from 3 s on, when callers have long been told to go elsewhere, the smaller of deadline and timeoutMs must end before the process; else the answer is 503 with Retry-After. Evidence: tests/dataplane/forwarding/test_service.py, test_a_late_request_on_a_kept_connection_is_refused_unless_ its_own_limit_ends_in_time failed before.

--- a/src/zincvale/dataplane/forwarding/service.py
+++ b/src/zincvale/dataplane/forwarding/service.py
@@ -37,6 +37,8 @@
 outlive the process."""
 NEW_REQUESTS_ALLOWED_S = 5.5
 """A draining node begins other requests only within this time after its stop signal."""
+ESTIMATES_TRUSTED_S = 3.0
+"""Time after the stop signal in which a request may begin whose own limit exceeds the process."""
 LONGEST_RESPONSE_FACTOR = 1.5
 """Safety factor on the longest recent response time of a route, since one node sees few of the
 route's requests."""
@@ -163,10 +165,10 @@
         if incoming.body is not None and len(incoming.body) > document.limits.max_body_bytes:
             self._deny(sink, TOO_LARGE, "the body is larger than the limit")
             return None
-        if self._may_outlive_process(route):
+        facts = self.context.dialect.caller_facts(headers)
+        if self._may_outlive_process(route, facts.deadline_s):
             _reply(sink, UNAVAILABLE, "this node is about to stop", STOPPING_RETRY_AFTER_S)
             return None
-        facts = self.context.dialect.caller_facts(headers)
         request = ForwardedRequest(self.context, route, facts, incoming, sink)
         request.begin()
         return request
@@ -214,13 +216,21 @@
         for pending in self.context.pending.remove_all():
             pending.on_expired(pending.reason, STOPPING_RETRY_AFTER_S)
 
-    def _may_outlive_process(self, route: ForwardRoute) -> bool:
-        """Whether the response to a new request might not end before the process exits."""
+    def _may_outlive_process(self, route: ForwardRoute, deadline_s: float | None) -> bool:
+        """Whether the response to a new request might not end before the process exits.
+
+        At first, recent response times of the route are trusted. Later, when callers have long been
+        told to go elsewhere, the request's own time limit must end before the process as well.
+        """
         if not self.is_draining:
             return False
         now = self._clock()
+        draining_s = now - self._draining_since
         allowed_s = NEW_STREAMS_ALLOWED_S if route.streaming else NEW_REQUESTS_ALLOWED_S
-        if now - self._draining_since >= allowed_s:
+        if draining_s >= allowed_s:
+            return True
+        limit_s = route.timeout_s if deadline_s is None else min(route.timeout_s, deadline_s)
+        if draining_s >= ESTIMATES_TRUSTED_S and now + limit_s >= self._process_ends_at:
             return True
         longest_s = self.context.response_times.longest_s(route.name, now)
         return now + longest_s * LONGEST_RESPONSE_FACTOR >= self._process_ends_at
--- a/tests/dataplane/forwarding/test_service.py
+++ b/tests/dataplane/forwarding/test_service.py
@@ -346,6 +346,30 @@
 
         run(scenario)
 
+    def test_a_late_request_on_a_kept_connection_is_refused_unless_its_own_limit_ends_in_time(self):
+        async def scenario():
+            node = Node()
+            node.service.context.response_times.record("r", 0.1, node.now)
+            node.service.start_draining(node.now, STOP_LIMIT_S)
+            node.now += STOP_LIMIT_S - 2.2
+            self.assertEqual(503, node.send_request("/r/x")[1].log[0][0])
+            self.assertEqual([], node.client.sent)
+            node.send_request("/r/x", [("X-Deadline-Ms", "1000")])
+            self.assertEqual(1, len(node.client.sent))
+
+        run(scenario)
+
+    def test_a_node_that_gives_up_its_lease_refuses_new_and_deferred_requests(self):
+        async def scenario():
+            node = Node(is_configured=False)
+            _, deferred = node.send_request()
+            node.service.start_draining(node.now, STOP_LIMIT_S)
+            node.service.refuse_new_requests()
+            _, new = node.send_request()
+            self.assertEqual([503, 503], [deferred.log[0][0], new.log[0][0]])
+
+        run(scenario)
+
     def test_deferred_requests_are_refused_when_the_node_stops(self):
         async def scenario():
             node = Node(is_configured=False)
