--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -9,6 +9,7 @@
 from tests.soak.history import (
     Answer,
     ChangeRecord,
+    EvacuationRecord,
     History,
     ProcessEnd,
     ReadRecord,
@@ -136,6 +137,45 @@
         self.history.runs = [ServerRun(20.0, "q1", "service-b")]
         self.assertEqual(["lost"], self.rules())
 
+    def evacuate(self, *, acknowledged_at: float | None = 20.0) -> None:
+        order = EvacuationRecord("zone-a", True, 19.9, acknowledged_at, "machine-0")
+        self.history.evacuations = [order]
+
+    def run_in_zone(self, at: float, zone: str = "zone-a") -> None:
+        self.history.requests = [request(at, Answer.RAN, "base-0", "service-b")]
+        self.history.runs = [ServerRun(at, "q1", "service-b", zone)]
+
+    def test_a_request_that_reaches_an_evacuated_zone_is_noticed(self) -> None:
+        self.evacuate()
+        self.run_in_zone(25.2)
+        self.assertEqual(["evacuated-zone-reached"], self.rules())
+        self.run_in_zone(25.2, "zone-b")
+        self.assertEqual([], self.rules())
+        self.run_in_zone(24.9)
+        self.assertEqual([], self.rules())
+
+    def test_an_unstable_core_stretches_the_bound_of_an_evacuation_but_not_for_ever(self) -> None:
+        self.evacuate()
+        self.history.disturbed("machine-0", 25.0, is_core=True)
+        self.run_in_zone(25.2)
+        self.assertEqual([], self.rules())
+        self.history.disturbed("machine-0", 30.0, is_core=True)
+        self.run_in_zone(30.2)
+        self.assertEqual(["evacuated-zone-reached"], self.rules())
+
+    def test_a_zone_that_was_taken_back_or_never_acknowledged_may_be_reached(self) -> None:
+        self.evacuate(acknowledged_at=None)
+        self.run_in_zone(26.0)
+        self.assertEqual([], self.rules())
+        self.evacuate()
+        self.history.evacuations.append(EvacuationRecord("zone-a", False, 25.0))
+        self.assertEqual([], self.rules())
+
+    def test_a_refused_order_about_an_evacuation_is_noticed(self) -> None:
+        self.evacuate()
+        self.history.evacuations[0].refused_with = [412]
+        self.assertEqual(["evacuation-refused"], self.rules())
+
     def test_a_process_that_ends_by_itself_is_noticed(self) -> None:
         self.history.ends = [
             ProcessEnd(5.0, "machine-5", "node", -9, by_rig=True),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,7 +22,17 @@
 )
 """The bounds on a start that a busy machine may miss are held in virtual time, by
 `tests/coordination/replication/test_second_disk_loss.py`, and by runs by hand."""
-MIN_CHANGES, MIN_RUNS = 10, 500
+EVACUATION_OPTIONS = RunOptions(
+    41,
+    seconds=45.0,
+    fault_gap_s=4.0,
+    change_gap_s=2.0,
+    load=0.4,
+    only=("freeze-core", "stop-core"),
+    final_fault="kill-all",
+    hangs_up_early=False,
+)
+MIN_CHANGES, MIN_RUNS, MIN_EVACUATIONS = 10, 500, 5
 
 
 class SoakTest(testtools.TestCase):
@@ -34,3 +44,10 @@
         self.assertEqual([], result.problems)
         self.assertGreater(result.counts["changes"], MIN_CHANGES)
         self.assertGreater(result.counts["ran"], MIN_RUNS)
+
+    def test_evacuations_in_series_around_frozen_and_stopping_cores_stay_in_force(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            result = play_one(EVACUATION_OPTIONS, Path(folder) / "run")
+        self.assertEqual([], result.problems)
+        self.assertGreater(result.counts["evacuations"], MIN_EVACUATIONS)
+        self.assertGreater(result.counts["ran"], MIN_RUNS)
