Cluster creation: a core that is lost during the first start no longer prevents the cluster

Cause: only the first initial core creates the cluster, and only once all initial cores have reported an empty disk; the list never changes. Class: a step that needs everybody, where a majority may be all that is left. Change: 3 s after the start a majority is enough, the missing core is declared with an unknown disk that never votes and is replaced like any lost replica, by itself or by a successor. A later core takes over the creation after 5 s of silence of the earlier ones. Reported states must be recent, so that a core that wakes from a freeze does not create from what it heard before. Of two creations at most one is chosen: each needs a majority of the same three, and a disk takes only one first record.

--- a/src/zincvale/coordination/membership/peer_table.py
+++ b/src/zincvale/coordination/membership/peer_table.py
@@ -70,6 +70,11 @@
         received = self._heartbeats.get(member)
         return received.heartbeat if received else None
 
+    def last_heard_at(self, member: MemberId) -> float:
+        """Return when the last heartbeat of `member` arrived; minus infinity without one."""
+        received = self._heartbeats.get(member)
+        return received.received_at if received else float("-inf")
+
     def is_live(self, member: MemberId, now: float) -> bool:
         """Whether `member` is this core, or a core whose last heartbeat is recent."""
         if member == self._own_id:
--- a/src/zincvale/coordination/registers/cluster_creation.py
+++ b/src/zincvale/coordination/registers/cluster_creation.py
@@ -1,25 +1,36 @@
-"""One-time creation of a cluster by the first of its initial cores.
-
-The first core of the configured list waits until every initial core reports an empty disk and no
-process has reported an existing cluster with the same cluster id. It then writes the first record
-of the key `replica-sets`, which binds votes to disk identities, and sends it to the other cores.
+"""One-time creation of a cluster by one of its initial cores.
+
+The first core of the configured list that is not lost waits until every initial core reports an
+empty disk and no process has reported an existing cluster with the same cluster id. It then writes
+the first record of the key `replica-sets`, which binds votes to disk identities, and sends it to
+the other cores.
+
+A core that is lost during the first start does not prevent that. After `MISSING_CORE_WAIT_S`, a
+majority of the initial cores is enough: the missing one is declared with an unknown disk, which
+never votes, until a core with a disk replaces it. A later core of the list creates the cluster only
+after the earlier ones were silent for `TAKEOVER_S`. Should two cores create one nevertheless, at
+most one record is chosen, because each needs a majority of the same three and a disk takes only one
+first record; the owner of the key then replaces the other.
 """
 
 from __future__ import annotations
 
 from zincvale.coordination import log_events
+from zincvale.coordination.config import InitialCore
 from zincvale.coordination.core.context import CoreContext
 from zincvale.coordination.core.messages import CreateCluster, Heartbeat
+from zincvale.coordination.membership.messages import MemberInfo
 from zincvale.coordination.registers.epochs import Epoch, Position
 from zincvale.coordination.registers.record_codec import StoredKeyState
 from zincvale.coordination.registers.records import Record
-from zincvale.coordination.replication.replica_config import ReplicaConfig
+from zincvale.coordination.replication.replica_config import ReplicaConfig, majority
 from zincvale.coordination.replication.replica_sets import (
     CLUSTER_ROW,
     REPLICA_SETS_KEY,
     CoreRow,
     initial_rows,
 )
+from zincvale.model.control_tables import Role
 from zincvale.model.identifiers import MemberId
 from zincvale.model.machine import Effect, Log, Send
 
@@ -27,6 +38,14 @@
 """Size in bits of the random cluster incarnation; no two clusters may get the same one."""
 CREATION_RETRY_S = 2.0
 """Interval between two attempts to write the first record, until its write is durable."""
+MISSING_CORE_WAIT_S = 3.0
+"""Time from the start after which a majority of the initial cores creates the cluster. Machines
+that start together take one to three seconds; a core that is declared without its disk is replaced
+by itself when it appears, which takes some seconds in which no other core may be lost."""
+TAKEOVER_S = 5.0
+"""Time without a heartbeat of an earlier initial core after which the next one may take its part.
+It is longer than most freezes, so that two cores hardly ever create a cluster at the same time."""
+UNKNOWN_DISK = ""
 RECOVERY_LISTEN_LEASE_TTLS = 3
 """How long a recovering core listens for the versions that nodes store, in lease lifetimes."""
 
@@ -63,18 +82,32 @@
         context = self._context
         if not context.config.bootstrap or not context.config.initial_cores:
             return []
-        if context.config.initial_cores[0].member != context.own_id:
+        is_first = context.config.initial_cores[0].member == context.own_id
+        if not is_first and not self._takes_over(now):
             return []
         if not self.is_empty():
             return self._send_first_record(now)
         if now - context.started_at < self._listen_duration_s():
             return []
         if self.existing_cluster and not context.config.recover:
-            return self._refuse_creation()
+            return self._refuse_creation() if is_first else []
         if now < self._retry_at:
             return []
         return self._create(now)
 
+    def _takes_over(self, now: float) -> bool:
+        """Whether this core is the first initial core that is not silent."""
+        context = self._context
+        if context.config.recover:
+            return False
+        for initial in context.config.initial_cores:
+            if initial.member == context.own_id:
+                return True
+            last_heard_at = context.cores.last_heard_at(initial.member)
+            if now - max(last_heard_at, context.started_at) < TAKEOVER_S:
+                return False
+        return False
+
     def handle(self, sender: MemberId, message: CreateCluster, now: float) -> list[Effect]:
         """Store the first record if it is addressed to this disk and the disk is empty."""
         context = self._context
@@ -111,15 +144,9 @@
 
     def _create(self, now: float) -> list[Effect]:
         context = self._context
-        rows = []
-        for initial in context.config.initial_cores:
-            if initial.member == context.own_id:
-                rows.append(CoreRow(context.info(), context.disk))
-                continue
-            status = context.cores.heartbeat_of(initial.member)
-            if status is None or not _awaits_creation(status):
-                return []
-            rows.append(CoreRow(status.info, status.disk))
+        rows = self._initial_core_rows(now)
+        if not rows:
+            return []
         self._retry_at = now + CREATION_RETRY_S
         self._block_grants_after_recovery(now)
         incarnation = self.existing_cluster
@@ -132,6 +159,28 @@
         effects = context.replica.handle(context.own_id, message, REPLICA_SETS_KEY)
         return [Log(log_events.CLUSTER_CREATED, {"cluster": incarnation}), *effects]
 
+    def _initial_core_rows(self, now: float) -> list[CoreRow]:
+        """Return the rows of the initial cores; none while too few of them await the creation."""
+        context = self._context
+        live = context.cores.live(now)
+        rows = []
+        for initial in context.config.initial_cores:
+            status = live.get(initial.member)
+            if initial.member == context.own_id:
+                rows.append(CoreRow(context.info(), context.disk))
+            elif status is None:
+                rows.append(_row_of_missing_core(initial))
+            elif _awaits_creation(status):
+                rows.append(CoreRow(status.info, status.disk))
+            else:
+                return []
+        present = sum(row.disk != UNKNOWN_DISK for row in rows)
+        may_miss_cores = (
+            now - context.started_at >= MISSING_CORE_WAIT_S and not context.config.recover
+        )
+        needed = majority(len(rows)) if may_miss_cores else len(rows)
+        return rows if present >= needed else []
+
     def _send_first_record(self, now: float) -> list[Effect]:
         context = self._context
         record = context.replica.state(REPLICA_SETS_KEY).record
@@ -154,3 +203,15 @@
 
 def _awaits_creation(status: Heartbeat) -> bool:
     return status.bootstrapping and not status.cluster_incarnation
+
+
+def _row_of_missing_core(initial: InitialCore) -> CoreRow:
+    info = MemberInfo(
+        member=initial.member,
+        role=Role.CORE.value,
+        zone=initial.zone,
+        api_address=initial.api_address,
+        peer_address=initial.peer_address,
+        incarnation="",
+    )
+    return CoreRow(info, UNKNOWN_DISK)
