Soak: one run and the command that plays many are modules of their own

Moved without a change of behaviour: SoakRun, its options and play_one to soak_run, argument reading and the report stay in run. tests/soak/test_checks.py passes, the command prints its help.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,7 @@
 
 import testtools
 
-from tests.soak.run import RunOptions, play_one
+from tests.soak.soak_run import RunOptions, play_one
 
 SEED = 35
 RECOVERY_S = 12.0
