Placement: a retired model of unknown size is bounded also when its server's memory is told later

Callers would see: a server that is ordered to load past weightsMb and falls with its streams (LIMIT), after a core has started again that read the list of servers before it had the document. Cause: the memory of a server comes from the document, its models from the list. When the memory comes, the list shows the same models as before, so the replicas are not gone through again, and the retired model keeps 0 bytes. Change: a change of the memory bounds the unknown sizes. Not seen on a run of real processes.

--- a/src/zincvale/controlplane/placement/apply_status.py
+++ b/src/zincvale/controlplane/placement/apply_status.py
@@ -126,6 +126,7 @@
         _move_server(placement, server, row)
     if row.memory_bytes != server.memory_bytes:
         server.memory_bytes = row.memory_bytes
+        bound_unknown_sizes(placement, server)
         placement.free_memory.mark_stale(server)
     if row.health is not server.health:
         server.health = row.health
--- a/tests/controlplane/placement/test_retired_models.py
+++ b/tests/controlplane/placement/test_retired_models.py
@@ -78,6 +78,17 @@
         self.assertEqual(bound, server.replicas["model/retired"].item_bytes)
         self.assertEqual(0, self.free_bytes(driver))
 
+    def test_no_load_exceeds_a_memory_size_that_was_told_after_the_models(self) -> None:
+        """A core may read the list of servers before the document with their memory."""
+        row = make_row("server-1", memory_bytes=0, models=frozenset(("retired",)))
+        intent = make_intent({"wanted": MODEL_GB})
+        driver = Driver(intent, {"server-1": row}, placement_config(QUIET_S))
+        driver.report()
+        driver.report("server-1", memory_bytes=MEMORY_BYTES)
+        take_over(driver, epoch=1)
+        self.assertEqual([], self.loads_while_requests_wait(driver))
+        self.assertLessEqual(self.free_bytes(driver), 0)
+
     def test_reported_memory_use_tells_the_size(self) -> None:
         used = 2 * MODEL_GB * GB
         driver = self.driver(("a", "retired"), used_bytes=used)
