Placement: a copy that no resource declares makes room for what is asked for

Callers saw: 503 for a new model on every request, for as long as the run lasted, after the cores had restarted. Cause: since a retired model of unknown size occupies all that the others leave, and no replica without a declaration was a candidate to make room until undeclared_grace_s (600 s) had passed. Two such replicas on one server were bounded by that memory each, so that together they counted more than the server has, and even unloading a declared model freed nothing. Retired adapters kept their slots in the same way. Change: what no resource declares is evicted first, at no cost, once it has been known to be undeclared for 2 s, longer than a document takes to reach the leader. Unloading needs no size: the copies of unknown size on a server have one bound together (ServerState.unknown_bytes), which counts until the last of them is gone, so they leave as one group and the load is ordered only then. victim_groups holds what may be evicted; eviction.py keeps the choice.

--- a/src/zincvale/controlplane/placement/__init__.py
+++ b/src/zincvale/controlplane/placement/__init__.py
@@ -28,6 +28,7 @@
 - Inputs: `apply_intent`, `apply_status`, `apply_demand`, `order_responses`, `leadership`;
   `order_confirmation` has the rules for orders whose outcome is not known.
 - Decisions: `replica_value`, `desired_replicas`, `load_candidates`, `choose_server`, `eviction`,
-  `load_moves`, `plan_loads`, `plan_unloads`, `prefetch`, `dispatch`, `drains`, `move_completion`.
+  `victim_groups`, `load_moves`, `plan_loads`, `plan_unloads`, `prefetch`, `dispatch`, `drains`,
+  `move_completion`.
 - Output: `events`, `publication`, `move_row_codec`, `draining_row_codec`, `log_events`.
 """
--- a/src/zincvale/controlplane/placement/apply_status.py
+++ b/src/zincvale/controlplane/placement/apply_status.py
@@ -27,7 +27,10 @@
 )
 from zincvale.controlplane.placement.servers import NEVER, Replica, ReplicaState, ServerState
 from zincvale.controlplane.placement.state import PlacementState
-from zincvale.controlplane.placement.unknown_sizes import bound_unknown_sizes
+from zincvale.controlplane.placement.unknown_sizes import (
+    bound_unknown_sizes,
+    bound_unknown_sizes_anew,
+)
 from zincvale.model.control_tables import ServerHealth, ServerRow
 from zincvale.model.identifiers import ServerId
 from zincvale.model.resources import PoolKind
@@ -126,7 +129,7 @@
         _move_server(placement, server, row)
     if row.memory_bytes != server.memory_bytes:
         server.memory_bytes = row.memory_bytes
-        bound_unknown_sizes(placement, server)
+        bound_unknown_sizes_anew(placement, server)
         placement.free_memory.mark_stale(server)
     if row.health is not server.health:
         server.health = row.health
--- a/src/zincvale/controlplane/placement/config.py
+++ b/src/zincvale/controlplane/placement/config.py
@@ -69,6 +69,8 @@
         has an order without a response.
     min_status_interval_s : minimum interval between status requests near the end of a load.
     undeclared_grace_s : a replica that no resource declares is unloaded after this time.
+    undeclared_eviction_s : a replica that no resource declares may be evicted after this time, if
+        another item needs the room. A leader that is behind may not know its resource yet.
     one_status_confirms : one status is enough to confirm a server, because orders carry the number
         of orders that the server's status showed.
     servers_guard_unloads : servers refuse new requests for a replica that they unload and let the
@@ -131,6 +133,7 @@
     status_interval_s: float = 0.2
     min_status_interval_s: float = 0.1
     undeclared_grace_s: float = 30.0
+    undeclared_eviction_s: float = 30.0
     one_status_confirms: bool = False
     servers_guard_unloads: bool = False
     adapters_add_replicas: bool = False
--- a/src/zincvale/controlplane/placement/load_candidates.py
+++ b/src/zincvale/controlplane/placement/load_candidates.py
@@ -76,10 +76,11 @@
         cost = _waits_from_eviction(placement, choice, now)
         return cost <= unmet_demand(placement, item, now) + eviction_cost(placement, item, now)
     if reason is MoveReason.DAILY_CHANGE:
-        victims = [placement.items[key] for key in choice.eviction.keys]
+        victims = [placement.items[key] for key in choice.eviction.keys if key in placement.items]
         if any(_needed_until_change(placement, victim, now) for victim in victims):
             return False
-        loss = max(predicted_value(placement, victim, now) for victim in victims)
+        losses = (predicted_value(placement, victim, now) for victim in victims)
+        loss = max(losses, default=0.0)
         return predicted_value(placement, item, now) > placement.config.predicted_swap_gain * loss
     return item_value(placement, item, now) > placement.config.swap_gain * choice.eviction.cost
 
@@ -97,7 +98,10 @@
     """
     total = 0.0
     for key in choice.eviction.keys:
-        victim = placement.items[key]
+        victim = placement.items.get(key)
+        if victim is None:
+            # No request can ask for what no resource declares.
+            continue
         if victim.base in choice.eviction.keys:
             continue
         total += eviction_cost(placement, victim, now)
--- a/src/zincvale/controlplane/placement/plan_loads.py
+++ b/src/zincvale/controlplane/placement/plan_loads.py
@@ -10,7 +10,7 @@
 from zincvale.controlplane.placement import log_events
 from zincvale.controlplane.placement.choose_server import AllServersBusyError, Choice
 from zincvale.controlplane.placement.config import PlacementConfig
-from zincvale.controlplane.placement.items import ItemKey, ItemKind, ItemRow
+from zincvale.controlplane.placement.items import ItemKey, ItemKind, ItemRow, is_adapter_key
 from zincvale.controlplane.placement.load_candidates import find_candidate, is_worth_loading
 from zincvale.controlplane.placement.load_moves import LoadPlan, new_load
 from zincvale.controlplane.placement.move_completion import end_move
@@ -216,13 +216,24 @@
     planned: dict[ItemKey, MoveId] = {}
     detail = f"makes room for {item.kind.value} {item.name}"
     for key in choice.eviction.keys:
-        victim = placement.items[key]
-        before = tuple(planned[adapter] for adapter in victim.adapters if adapter in planned)
+        before = tuple(planned[adapter] for adapter in _adapters_on(placement, key, planned))
         unload_plan = UnloadPlan(MoveReason.MAKE_ROOM, detail, before)
         planned[key] = plan_unload(placement, server, key, unload_plan, now)
     return tuple(planned.values())
 
 
+def _adapters_on(
+    placement: PlacementState, key: ItemKey, planned: dict[ItemKey, MoveId]
+) -> list[ItemKey]:
+    """Return the adapters among `planned` that may be on the model `key`."""
+    if is_adapter_key(key):
+        return []
+    model = placement.items.get(key)
+    if model is not None:
+        return [adapter for adapter in model.adapters if adapter in planned]
+    return [other for other in planned if is_adapter_key(other) and other not in placement.items]
+
+
 def _expected_start(
     placement: PlacementState,
     item: ItemRow,
--- a/src/zincvale/controlplane/placement/servers.py
+++ b/src/zincvale/controlplane/placement/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Collection
 
 import attrs
 
@@ -14,6 +15,8 @@
 
 NEVER = float("-inf")
 """A time before every time on the controller's clock."""
+UNBOUNDED_BYTES = 1 << 62
+"""A size above the memory of every server."""
 
 
 class CountedAs(enum.Enum):
@@ -43,7 +46,8 @@
 
     Attributes
     ----------
-    item_bytes : size of the weights; an upper bound while `is_size_known` is false.
+    item_bytes : size of the weights; 0 while `is_size_known` is false, see
+        `ServerState.unknown_bytes`.
     since : when the current state began.
     draining : nodes are told to send no new requests to it.
     move_id : the planned or running move that loads or unloads it.
@@ -78,6 +82,7 @@
     confirmed_epoch : the newest leadership epoch under which the server was confirmed for orders.
     cold_until : end of the period in which a new incarnation gets fewer concurrent loads.
     reserved_bytes, reserved_kv_bytes : sums over `replicas`.
+    unknown_bytes : upper bound on the memory that the replicas of unknown size use together.
     planned_bytes, planned_kv_bytes : sums over the loads that are planned but not yet ordered.
     planned_models : number of the loads of models that are planned but not yet ordered.
     planned_free_bytes : sum over the unfinished unloads, still counted in `reserved_bytes`.
@@ -115,6 +120,7 @@
     replicas: dict[ItemKey, Replica] = attrs.field(factory=dict)
     reserved_bytes: int = 0
     reserved_kv_bytes: int = 0
+    unknown_bytes: int = 0
     planned_bytes: int = 0
     planned_kv_bytes: int = 0
     planned_models: int = 0
@@ -149,14 +155,38 @@
     def free_now_bytes(self, config: PlacementConfig, more_kv_bytes: int) -> int:
         """Return the memory free for one more load now, beside all replicas and loads in flight."""
         headroom = self.headroom_bytes(config, self.reserved_kv_bytes + more_kv_bytes)
-        return self.memory_bytes - headroom - self.reserved_bytes
+        return self.memory_bytes - headroom - self.reserved_bytes - self.unknown_bytes
 
     def free_planned_bytes(self, config: PlacementConfig, more_kv_bytes: int) -> int:
         """Return the memory free for one more load after all planned moves."""
         kv_bytes = self.reserved_kv_bytes + self.planned_kv_bytes + more_kv_bytes
         weights = self.reserved_bytes + self.planned_bytes - self.planned_free_bytes
+        weights += self.unknown_bytes_without(())
         return self.memory_bytes - self.headroom_bytes(config, kv_bytes) - weights
 
+    def unknown_bytes_without(self, keys: Collection[ItemKey]) -> int:
+        """Return the bound on unknown sizes after all planned unloads and the unload of `keys`.
+
+        Nothing tells the size of a single replica, so the bound holds until all of them are gone.
+        """
+        if not self.unknown_bytes:
+            return 0
+        remains = any(
+            not replica.is_size_known and not replica.draining and key not in keys
+            for key, replica in self.replicas.items()
+        )
+        return self.unknown_bytes if remains else 0
+
+    def freed_bytes(self, keys: Collection[ItemKey]) -> int:
+        """Return the memory that is certainly free once the replicas `keys` are unloaded."""
+        known_bytes = sum(self.replicas[key].item_bytes for key in keys)
+        return known_bytes + self.unknown_bytes_without(()) - self.unknown_bytes_without(keys)
+
+    def forget_unknown_sizes(self) -> None:
+        """Count nothing for unknown sizes if no replica of unknown size is left."""
+        if all(replica.is_size_known for replica in self.replicas.values()):
+            self.unknown_bytes = 0
+
     def has_adapter_slot_now(self) -> bool:
         """Whether one more adapter fits now, beside all replicas and loads in flight."""
         return not self.adapter_slots or self.reserved_adapters < self.adapter_slots
--- a/src/zincvale/controlplane/placement/state.py
+++ b/src/zincvale/controlplane/placement/state.py
@@ -18,7 +18,13 @@
 from zincvale.controlplane.placement.prefetch_state import PrefetchState
 from zincvale.controlplane.placement.reviews import ReviewSchedule
 from zincvale.controlplane.placement.server_index import ServerIndex
-from zincvale.controlplane.placement.servers import CountedAs, Replica, ReplicaState, ServerState
+from zincvale.controlplane.placement.servers import (
+    UNBOUNDED_BYTES,
+    CountedAs,
+    Replica,
+    ReplicaState,
+    ServerState,
+)
 from zincvale.controlplane.placement.shortages import ShortageQueues
 from zincvale.controlplane.placement.stores import StoreState
 from zincvale.controlplane.placement.undeclared import UndeclaredReplicas
@@ -238,6 +244,8 @@
         server.reserved_adapters += is_adapter_key(key)
         server.reserved_bytes += replica.item_bytes
         server.reserved_kv_bytes += replica.kv_bytes
+        if not replica.is_size_known:
+            server.unknown_bytes = UNBOUNDED_BYTES
         item = self.items.get(key)
         if item is not None:
             item.holders[server.server] = None
@@ -252,6 +260,7 @@
         server.reserved_adapters -= is_adapter_key(key)
         server.reserved_bytes -= replica.item_bytes
         server.reserved_kv_bytes -= replica.kv_bytes
+        server.forget_unknown_sizes()
         if replica.draining:
             self.changed_drains[server.server] = None
         item = self.items.get(key)
@@ -272,6 +281,7 @@
         replica.item_bytes = item.weight_bytes
         replica.kv_bytes = item.kv_bytes
         replica.is_size_known = True
+        server.forget_unknown_sizes()
         self.free_memory.mark_stale(server)
 
     def set_draining(
--- a/src/zincvale/controlplane/placement/unknown_sizes.py
+++ b/src/zincvale/controlplane/placement/unknown_sizes.py
@@ -2,21 +2,21 @@
 
 A core that has started after a model was retired learns the name of the model from the servers, but
 not its size. Unless a server reports its memory use, all memory that its other replicas leave may
-be in use, so that nothing is loaded into it.
+be in use, so that nothing is loaded into it until the replicas of unknown size are unloaded.
 """
 
 from __future__ import annotations
 
-from zincvale.controlplane.placement.servers import ReplicaState, ServerState
+from zincvale.controlplane.placement.servers import UNBOUNDED_BYTES, ReplicaState, ServerState
 from zincvale.controlplane.placement.state import PlacementState
 
 
 def bound_unknown_sizes(placement: PlacementState, server: ServerState) -> None:
-    """Bound the unknown sizes on a server; every bound holds for good, so the least one counts."""
-    if not server.memory_bytes:
-        return
-    unknown = [replica for replica in server.replicas.values() if not replica.is_size_known]
-    if not unknown:
+    """Bound the sum of the unknown sizes on a server.
+
+    Every bound holds until another replica of unknown size comes, so the least one counts.
+    """
+    if not server.unknown_bytes or not server.memory_bytes:
         return
     known_bytes = sum(
         replica.item_bytes
@@ -24,8 +24,13 @@
         if replica.is_size_known and replica.state is ReplicaState.LOADED
     )
     bound = max(server.memory_bytes - known_bytes, 0)
-    for replica in unknown:
-        if not replica.item_bytes or bound < replica.item_bytes:
-            server.reserved_bytes += bound - replica.item_bytes
-            replica.item_bytes = bound
-            placement.free_memory.mark_stale(server)
+    if bound < server.unknown_bytes:
+        server.unknown_bytes = bound
+        placement.free_memory.mark_stale(server)
+
+
+def bound_unknown_sizes_anew(placement: PlacementState, server: ServerState) -> None:
+    """Replace a bound that was learned with another memory size of the server."""
+    if server.unknown_bytes:
+        server.unknown_bytes = UNBOUNDED_BYTES
+        bound_unknown_sizes(placement, server)
--- a/src/zincvale/daemons/forwarding_placement.py
+++ b/src/zincvale/daemons/forwarding_placement.py
@@ -12,6 +12,9 @@
 ORDER_LIFETIME_S = 2.1
 """Time after which an order of an earlier leader can no longer arrive; it exceeds the timeout of
 an order."""
+UNDECLARED_EVICTION_S = 2.0
+"""Age from which a replica that no resource declares may be evicted; it exceeds the time in which a
+change of the document reaches the leader."""
 
 
 def placement_config(order_quiet_s: float) -> PlacementConfig:
@@ -45,6 +48,7 @@
         status_interval_s=0.25,
         max_finished_moves=20,
         undeclared_grace_s=600.0,
+        undeclared_eviction_s=UNDECLARED_EVICTION_S,
         serial_orders=True,
         confirms_orders=True,
         servers_keep_weights=True,
--- a/tests/daemons/test_order_soak.py
+++ b/tests/daemons/test_order_soak.py
@@ -8,7 +8,10 @@
 
 SEEDS = (*range(1, 21), 271)
 SEEDS_WITH_FREEZES_AT_SEND = (8, 20, 30, 31, 47, 51, 62, 88, 89)
+SEEDS_WITH_RETIREMENTS = (1, 2, 3, 6, 7, 9, 17, 21)
 RUN_S = 150.0
+CALM_S = 30.0
+"""Time in which requests wait until what they ask for is loaded."""
 MIN_ORDERS_PER_RUN = 100
 """Least mean over all seeds, so that the soak cannot pass without sending orders."""
 MIN_LEADER_CHANGES = 8
@@ -34,6 +37,16 @@
             self.assertEqual([], soak.problems, f"seed {seed}")
             self.assertEqual(0, soak.events[UNCOUNTED_REPLICAS_EVENT], f"seed {seed}")
 
+    def test_each_declared_model_is_served_again_after_models_were_retired_and_cores_restarted(
+        self,
+    ) -> None:
+        """Guards against retired copies that fill the servers, and loads beyond their room."""
+        for seed in SEEDS_WITH_RETIREMENTS:
+            soak = OrderSoak(seed, retires_models=True)
+            soak.run(RUN_S, CALM_S)
+            self.assertEqual([], soak.problems, f"seed {seed}")
+            self.assertEqual([], soak.unserved_items(), f"seed {seed}")
+
     def test_equal_seeds_give_equal_runs(self) -> None:
         runs = []
         for _ in range(2):
