Placement: the adapters of an unloaded model leave with it, and a model with adapters is not unloaded to time a reload

Callers saw: 503 for an adapter that nobody loads any more, while its model is served. Cause: to learn how fast servers load from their disks, a spare copy of a model is unloaded and loaded again. The server drops the adapters with the model; the tables kept them, as the end of an order is learned by its repeats and no status is taken. The adapter counted as ready on a server that no longer held its model, so none was loaded elsewhere. Change: the end of a model's unload removes its loaded adapters from the tables, and a copy with adapters is not spare.

--- a/src/zincvale/controlplane/placement/apply_status.py
+++ b/src/zincvale/controlplane/placement/apply_status.py
@@ -194,7 +194,9 @@
             _apply_reported(placement, observed, now)
     if len(server.replicas) > len(reported):
         for key in [key for key in server.replicas if key not in reported]:
-            _apply_unreported(placement, server, key, report.requested_at, now)
+            # The end of a model's unload removes its adapters as well.
+            if key in server.replicas:
+                _apply_unreported(placement, server, key, report.requested_at, now)
     bound_unknown_sizes(placement, server)
     listed = [server.replicas[key] for key in reported if key in server.replicas]
     server.listed_bytes = sum(replica.item_bytes for replica in listed)
--- a/src/zincvale/controlplane/placement/move_completion.py
+++ b/src/zincvale/controlplane/placement/move_completion.py
@@ -197,9 +197,18 @@
     replica.move_id = None
     if state is MoveState.DONE:
         placement.remove_replica(server, key)
+        _remove_adapters(placement, server, key)
         return
     placement.set_replica_state(server, key, replica, ReplicaState.LOADED)
     replica.contradicted_at = None
     placement.set_draining(server, key, replica, draining=False)
     placement.free_memory.mark_stale(server)
     placement.queue_review(key)
+
+
+def _remove_adapters(placement: PlacementState, server: ServerState, model: ItemKey) -> None:
+    """Remove the loaded adapters of an unloaded model: the server drops them with the model."""
+    for adapter in placement.adapters_by_base.get(model, ()):
+        replica = server.replicas.get(adapter)
+        if replica is not None and replica.move_id is None:
+            placement.remove_replica(server, adapter)
--- a/src/zincvale/controlplane/placement/prefetch.py
+++ b/src/zincvale/controlplane/placement/prefetch.py
@@ -126,12 +126,17 @@
 
 
 def _spare_replica(placement: PlacementState, server: ServerState) -> ItemKey | None:
-    """Return an unused model on the server that has more replicas than needed, or None."""
+    """Return an unused model on the server that has more replicas than needed, or None.
+
+    A model with adapters there is not spare, since they would leave with it.
+    """
     for key, replica in server.replicas.items():
         item = placement.items.get(key)
         if item is None or item.kind is not ItemKind.MODEL:
             continue
         is_free = replica.state is ReplicaState.LOADED and replica.move_id is None
+        if any(adapter in server.replicas for adapter in item.adapters):
+            continue
         if is_free and item.ready > max(item.desired, item.min_replicas, 1) and not item.running:
             return key
     return None
--- a/tests/controlplane/placement/test_prefetch.py
+++ b/tests/controlplane/placement/test_prefetch.py
@@ -21,6 +21,7 @@
 from zincvale.controlplane.placement.config import PlacementConfig
 from zincvale.controlplane.placement.events import (
     DirectoryChanged,
+    IntentChanged,
     LeaderGained,
     OrderAccepted,
     OrderAction,
@@ -29,7 +30,7 @@
     PREFETCH_WINDOW_FRACTION,
     RESERVED_IDLE_FRACTION,
 )
-from zincvale.model.resources import ModelSpec, StoreSpec
+from zincvale.model.resources import AdapterSpec, ModelSpec, StoreSpec
 
 CONFIG = attrs.evolve(DISK_CONFIG, one_status_confirms=True, confirms_orders=True)
 POOL = "chat"
@@ -152,6 +153,16 @@
         simulated = make_servers(attrs.evolve(CONFIG, servers_keep_weights=False))
         self.assertEqual([], orders_in(simulated.lead(12.0)))
 
+    def test_a_model_with_an_adapter_is_not_unloaded_to_measure_disk_speed(self) -> None:
+        """Guards against an adapter that leaves with its model, and is served to nobody."""
+        simulated = make_servers()
+        driver = simulated.driver
+        adapters = {"busy/x": AdapterSpec("busy", GB // 10, POOL)}
+        driver.feed(IntentChanged(attrs.evolve(driver.intent, version=2, adapters=adapters)))
+        for server, row in driver.rows.items():
+            driver.rows[server] = attrs.evolve(row, adapters=frozenset(adapters))
+        self.assertEqual([], unloads_in(simulated.lead()))
+
     def test_replica_in_use_is_not_unloaded_to_measure_disk_speed(self) -> None:
         simulated = make_servers()
         use = tuple((server, "busy", 1) for server in simulated.driver.rows)
