Placement: a copy whose model is declared again with another size counts as the larger of the two

Callers would see: a server that is ordered to load past weightsMb and falls (LIMIT), after a configuration made a model smaller under its name while copies of the old size are loaded. Cause: every loaded copy was counted with the newest declared size. Change: a copy has the largest size that was declared since its load; the bound on unknown sizes beside it uses the smallest one. A copy that is loaded again has the declared size. Open: a core that starts after the change knows only the newest size.

--- a/src/zincvale/controlplane/placement/servers.py
+++ b/src/zincvale/controlplane/placement/servers.py
@@ -46,8 +46,9 @@
 
     Attributes
     ----------
-    item_bytes : size of the weights; 0 while `is_size_known` is false, see
-        `ServerState.unknown_bytes`.
+    item_bytes : size of the weights, the largest one that was declared since the load; 0 while
+        `is_size_known` is false, see `ServerState.unknown_bytes`.
+    least_bytes : the smallest size that was declared since the load.
     since : when the current state began.
     draining : nodes are told to send no new requests to it.
     move_id : the planned or running move that loads or unloads it.
@@ -68,6 +69,19 @@
     contradicted_at: float | None = None
     is_prefetched: bool = False
     is_size_known: bool = True
+    least_bytes: int = attrs.field(
+        default=attrs.Factory(lambda self: self.item_bytes, takes_self=True)
+    )
+
+    def widen_size(self, declared_bytes: int) -> None:
+        """Take another declared size into account; the weights may be those of an earlier one."""
+        self.least_bytes = min(self.least_bytes, declared_bytes)
+        self.item_bytes = max(self.item_bytes, declared_bytes)
+
+    def set_first_size(self, declared_bytes: int) -> None:
+        """Set the size of an item whose size was not known."""
+        self.least_bytes = self.item_bytes = declared_bytes
+        self.is_size_known = True
 
 
 @attrs.define(eq=False)
--- a/src/zincvale/controlplane/placement/state.py
+++ b/src/zincvale/controlplane/placement/state.py
@@ -276,11 +276,14 @@
 
     def resize_replica(self, server: ServerState, replica: Replica, item: ItemRow) -> None:
         """Update a replica to the declared sizes of its item."""
-        server.reserved_bytes += item.weight_bytes - replica.item_bytes
+        server.reserved_bytes -= replica.item_bytes
+        if replica.is_size_known:
+            replica.widen_size(item.weight_bytes)
+        else:
+            replica.set_first_size(item.weight_bytes)
+        server.reserved_bytes += replica.item_bytes
         server.reserved_kv_bytes += item.kv_bytes - replica.kv_bytes
-        replica.item_bytes = item.weight_bytes
         replica.kv_bytes = item.kv_bytes
-        replica.is_size_known = True
         server.forget_unknown_sizes()
         self.free_memory.mark_stale(server)
 
--- a/src/zincvale/controlplane/placement/unknown_sizes.py
+++ b/src/zincvale/controlplane/placement/unknown_sizes.py
@@ -19,7 +19,7 @@
     if not server.unknown_bytes or not server.memory_bytes:
         return
     known_bytes = sum(
-        replica.item_bytes
+        replica.least_bytes
         for replica in server.replicas.values()
         if replica.is_size_known and replica.state is ReplicaState.LOADED
     )
