Soak: machines and zones are cut off from each other, alone, in series and around replaced cores

Nothing of the network of the machine is touched. A machine inside a cut is not in touch until the contact time after its end; it counts as lost for the other disks. The checks' test notices an older version used after the contact time of a cut.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,16 @@
     "wipe-core": 3,
     "busy": 3,
 }
+CUT_WEIGHTS = {
+    "cut-core": 8,
+    "cut-zone": 5,
+    "cut-nodes": 4,
+    "cut-after-replacement": 4,
+    "replace-inside-cut": 4,
+}
+"""Weights of the faults that cut machines off, which only some runs have."""
+LOSS_TO_CUT_S = (0.05, 0.9)
+"""How long after the loss of a core machine its zone is cut off, or before it."""
 CATCH_UP_S = 4.05
 """How long a machine counts as lost after its return: `catchUpS` of the settings, and a moment."""
 
@@ -148,6 +158,41 @@
                 await self._wipe_core(fault)
             case "busy":
                 await self._busy(fault.seconds)
+            case _:
+                await self._strike_with_cut(fault)
+
+    async def _strike_with_cut(self, fault: Fault) -> None:
+        core = self._fleet.specs[self._core(fault)]
+        match fault.kind:
+            case "cut-core":
+                await self._cut([core], fault.seconds)
+            case "cut-zone":
+                await self._cut_zone(core.zone, fault.seconds)
+            case "cut-nodes":
+                names = self._some(fault, 0.4, without_cores=True)
+                await self._cut([self._fleet.specs[name] for name in names], fault.seconds)
+            case "cut-after-replacement" if self._may_lose_disk(core.name):
+                replacement = asyncio.create_task(self.replace_core(core))
+                await asyncio.sleep(self._random.uniform(*LOSS_TO_CUT_S))
+                await self._cut_zone(core.zone, fault.seconds)
+                await replacement
+            case "replace-inside-cut" if self._may_lose_disk(core.name):
+                cut = asyncio.create_task(self._cut_zone(core.zone, fault.seconds))
+                await asyncio.sleep(self._random.uniform(*LOSS_TO_CUT_S))
+                if core.name in self._fleet.specs:
+                    await self.replace_core(core)
+                await cut
+
+    async def _cut_zone(self, zone: str, seconds: float) -> None:
+        inside = [spec for spec in self._fleet.specs.values() if spec.zone == zone]
+        await self._cut(inside, seconds, zone)
+
+    async def _cut(self, machines: list[MachineSpec], seconds: float, zone: str = "") -> None:
+        """Cut machines off from all others for a while."""
+        assert self._fleet.cuts is not None
+        cut = self._fleet.cuts.begin(machines, zone)
+        await asyncio.sleep(seconds)
+        self._fleet.cuts.end(cut)
 
     def _core(self, fault: Fault) -> str:
         cores = [spec.name for spec in self._fleet.cores()]
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -122,6 +122,8 @@
     """Times of signals, starts, freezes and thaws."""
     down: list[list[float]] = attrs.field(factory=list)
     """Intervals without power or frozen; the last may be open."""
+    cut_off: list[list[float]] = attrs.field(factory=list)
+    """Intervals without a connection to the machines outside of a cut; some may be open."""
     starts: dict[str, list[float]] = attrs.field(factory=dict)
     terminations: list[float] = attrs.field(factory=list)
     hangups: list[float] = attrs.field(factory=list)
--- a/tests/soak/in_touch.py
+++ b/tests/soak/in_touch.py
@@ -42,5 +42,5 @@
             return False
         return not any(
             interval[0] <= end and (len(interval) == 1 or interval[1] >= start - CONTACT_S)
-            for interval in history.down
+            for interval in (*history.down, *history.cut_off)
         )
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -18,12 +18,14 @@
 
 import attrs
 
+from tests.soak.cuts import CutTable
 from tests.soak.history import History, ProcessEnd
 from tests.soak.layout import MachineSpec
 from tests.soak.settings_file import GRACE_S, write_settings
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 START_SCRIPT = REPOSITORY / "deploy" / "start.py"
+CUT_LAUNCHER = REPOSITORY / "tests" / "soak" / "cut_launcher.py"
 PR_SET_PDEATHSIG = 1
 WATCH_INTERVAL_S = 0.05
 _LIBC = ctypes.CDLL(None)
@@ -69,6 +71,7 @@
     clock : seconds on the monotonic clock.
     restart_delay_s : drawn anew for each restart.
     hangs_up_early : whether SIGHUP may reach an interpreter that has not run a statement yet.
+    cuts : where the processes learn which machines are cut off; None if none ever are.
     """
 
     def __init__(
@@ -81,7 +84,9 @@
         restart_delay_s: Callable[[], float],
         *,
         hangs_up_early: bool = True,
+        cuts: CutTable | None = None,
     ) -> None:
+        self.cuts = cuts
         self.specs = {spec.name: spec for spec in specs}
         self._folder = folder
         self._list_address = list_address
@@ -132,6 +137,8 @@
         """Add a machine with an empty disk; it starts at once."""
         self.specs[spec.name] = spec
         self._history.disturbed(spec.name, self._clock(), is_core=spec.has_disk)
+        if self.cuts is not None:
+            self.cuts.added(spec)
         self._add_processes(spec)
 
     def _add_processes(self, spec: MachineSpec) -> None:
@@ -204,18 +211,30 @@
         self._disk(process.machine).mkdir(exist_ok=True)
         with process.log.open("ab") as output:
             process.popen = subprocess.Popen(
-                [sys.executable, "-OO", "-S", str(START_SCRIPT), process.role],
+                self._command(process.role),
                 cwd=REPOSITORY,
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
-                env=child_environment(process.settings),
+                env=self._environment(process),
                 preexec_fn=_prepare_child,
             )
         self._history.started(process.machine.name, process.role, now)
         if not process.ended_by_itself:
             self._disturb(process.machine.name, now)
 
+    def _command(self, role: str) -> list[str]:
+        script = START_SCRIPT if self.cuts is None else CUT_LAUNCHER
+        # Without -P the modules beside the launcher would hide modules of the standard library.
+        return [sys.executable, "-OO", "-S", "-P", str(script), role]
+
+    def _environment(self, process: RoleProcess) -> dict[str, str]:
+        environment = child_environment(process.settings)
+        if self.cuts is not None:
+            environment["SOAK_CUTS"] = str(self.cuts.path)
+            environment["SOAK_ADDRESS"] = process.machine.ip
+        return environment
+
     def may_lose_disk(self, name: str, catch_up_s: float) -> bool:
         """Whether no other core machine counts as lost, nor did within `catch_up_s`."""
         now = self._clock()
@@ -225,6 +244,7 @@
                 continue
             last = max(machine.disturbances)
             is_down = spec.name in self._frozen or spec.name in self._dark
+            is_down = is_down or (self.cuts is not None and self.cuts.is_cut_off(spec.name))
             if is_down or now - last < catch_up_s:
                 return False
         return True
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,6 +13,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
+from tests.soak.directed_plans import DIRECTED_PLANS
 from tests.soak.soak_run import RunOptions, RunResult, play_one
 
 
@@ -47,6 +48,8 @@
     parser.add_argument("--only", default="")
     parser.add_argument("--final-fault", default="")
     parser.add_argument("--keep", action="store_true")
+    parser.add_argument("--cuts", action="store_true", help="cut machines off as well")
+    parser.add_argument("--plan", default="", choices=["", *DIRECTED_PLANS])
     parser.add_argument("--jobs", type=int, default=1)
     parser.add_argument("--folder", default="target/soak")
     arguments = parser.parse_args()
@@ -63,6 +66,8 @@
             tuple(name for name in arguments.only.split(",") if name),
             arguments.final_fault,
             keep=arguments.keep,
+            cuts=arguments.cuts or bool(arguments.plan),
+            plan=arguments.plan,
         )
         for seed in range(int(first), int(last or first) + 1)
     ]
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -7,14 +7,24 @@
 import random
 import shutil
 import time
+from collections.abc import Sequence
 from pathlib import Path
 
 import attrs
 
 from tests.soak.callers import Callers
 from tests.soak.checks import Staleness, check
+from tests.soak.cuts import CutTable
+from tests.soak.directed_plans import DIRECTED_PLANS, plan_length_s
 from tests.soak.evacuations import EvacuationOperator
-from tests.soak.faults import CATCH_UP_S, FAULT_WEIGHTS, Fault, FaultRunner, draw_plan
+from tests.soak.faults import (
+    CATCH_UP_S,
+    CUT_WEIGHTS,
+    FAULT_WEIGHTS,
+    Fault,
+    FaultRunner,
+    draw_plan,
+)
 from tests.soak.history import Answer, History
 from tests.soak.in_touch import Problem
 from tests.soak.layout import MachineSpec, Network, machines
@@ -54,6 +64,10 @@
     hangs_up_early: bool = True
     keep: bool = False
     """Whether the logs stay, whatever the run shows."""
+    cuts: bool = False
+    """Whether machines are cut off from each other as well."""
+    plan: str = ""
+    """One of `DIRECTED_PLANS`, played in place of drawn faults."""
 
 
 @attrs.define
@@ -88,6 +102,7 @@
             time.monotonic,
             lambda: self._random.uniform(*RESTART_DELAY_S),
             hangs_up_early=options.hangs_up_early,
+            cuts=self._make_cuts(),
         )
         self._servers = Servers(self._network, self.history, self._random, time.monotonic)
         self._operators = Operators(self._fleet.cores, self.history, self._random, time.monotonic)
@@ -98,6 +113,11 @@
             lambda: self._operators.recent_routes, self.history, self._random, time.monotonic
         )
 
+    def _make_cuts(self) -> CutTable | None:
+        if not self.options.cuts:
+            return None
+        return CutTable(self._folder / "cuts", self.history, time.monotonic)
+
     async def play(self) -> None:
         """Play the run."""
         try:
@@ -121,12 +141,15 @@
 
     async def _play_faults(self) -> None:
         options = self.options
+        seconds = plan_length_s(options.plan) if options.plan else options.seconds
         kinds = {
             kind: weight
-            for kind, weight in FAULT_WEIGHTS.items()
+            for kind, weight in self._weights().items()
             if not options.only or kind in options.only
         }
-        plan = draw_plan(self._random, options.seconds, options.fault_gap_s, kinds)
+        plan: Sequence[Fault] = DIRECTED_PLANS.get(options.plan, ())
+        if not options.plan:
+            plan = draw_plan(self._random, options.seconds, options.fault_gap_s, kinds)
         self._spawn(self._operators.read_until(self._stop))
         changing = asyncio.Event()
         changes = [
@@ -144,10 +167,13 @@
         )
         started_at = time.monotonic()
         self.history.note(started_at, "load-started", wall_clock=time.time())
-        await self._runner.run([*plan, Fault(options.seconds, "none", 0.0, 0.0)], started_at)
+        await self._runner.run([*plan, Fault(seconds, "none", 0.0, 0.0)], started_at)
         changing.set()
         await asyncio.gather(*changes)
 
+    def _weights(self) -> dict[str, int]:
+        return FAULT_WEIGHTS | CUT_WEIGHTS if self.options.cuts else FAULT_WEIGHTS
+
     async def _play_end(self) -> None:
         """Strike the final fault right after an acknowledgement, and read back."""
         kind = self.options.final_fault or self._random.choice(FINAL_FAULTS)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -67,6 +67,13 @@
         self.history.requests = [request(12.2, Answer.NOT_FOUND, "added-1")]
         self.assertEqual(["not-in-force"], self.rules())
 
+    def test_a_machine_is_not_in_touch_while_it_is_cut_off_and_the_contact_time_after(self) -> None:
+        self.history.machine("machine-5").cut_off.append([11.0, 15.0])
+        self.history.requests = [request(17.9, Answer.RAN, "base-0", "service-a")]
+        self.assertEqual([], self.rules())
+        self.history.requests = [request(18.1, Answer.RAN, "base-0", "service-a")]
+        self.assertEqual(["not-in-force"], self.rules())
+
     def test_a_machine_that_was_frozen_is_not_in_touch(self) -> None:
         self.history.disturbed("machine-5", 11.0, is_core=False)
         self.history.requests = [request(12.2, Answer.NOT_FOUND, "added-1")]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -32,6 +32,18 @@
     final_fault="kill-all",
     hangs_up_early=False,
 )
+CUT_OPTIONS = RunOptions(
+    44,
+    seconds=25.0,
+    fault_gap_s=3.0,
+    change_gap_s=1.0,
+    load=0.4,
+    only=("cut-core", "cut-zone", "cut-after-replacement", "freeze-core", "stop-core"),
+    final_fault="kill-all",
+    catch_up_s=RECOVERY_S,
+    hangs_up_early=False,
+    cuts=True,
+)
 MIN_CHANGES, MIN_RUNS, MIN_EVACUATIONS = 10, 500, 5
 
 
@@ -51,3 +63,10 @@
         self.assertEqual([], result.problems)
         self.assertGreater(result.counts["evacuations"], MIN_EVACUATIONS)
         self.assertGreater(result.counts["ran"], MIN_RUNS)
+
+    def test_machines_that_are_cut_off_in_series_break_no_rule_of_the_configuration(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            result = play_one(CUT_OPTIONS, Path(folder) / "run")
+        self.assertEqual([], result.problems)
+        self.assertGreater(result.counts["changes"], MIN_CHANGES)
+        self.assertGreater(result.counts["ran"], MIN_RUNS)
