Placement: only a model with requested adapters is kept from the timed reload

Cause: kept every model with an adapter from the unload that times a reload from disk. Where all servers hold adapters, the speed of the disks would never be learned, and nothing prefetched. Change: only adapters that were requested lately, wait or run keep it. Others are loaded again when they are asked for.

--- a/src/zincvale/controlplane/placement/desired_replicas.py
+++ b/src/zincvale/controlplane/placement/desired_replicas.py
@@ -113,11 +113,11 @@
     pool = placement.intent.pools.get(item.pool)
     if not placement.config.adapters_add_replicas or pool is None or not pool.adapter_slots:
         return 0
-    requested = sum(1 for key in item.adapters if _is_requested(placement.items[key], now))
+    requested = sum(1 for key in item.adapters if is_requested(placement.items[key], now))
     return math.ceil(requested / pool.adapter_slots)
 
 
-def _is_requested(adapter: ItemRow, now: float) -> bool:
+def is_requested(adapter: ItemRow, now: float) -> bool:
     """Whether an adapter has waiting, running or recent requests."""
     return bool(adapter.waiting or adapter.running or adapter.demand.is_recent(now))
 
--- a/src/zincvale/controlplane/placement/prefetch.py
+++ b/src/zincvale/controlplane/placement/prefetch.py
@@ -15,6 +15,7 @@
 import math
 
 from zincvale.controlplane.placement.choose_server import Choice
+from zincvale.controlplane.placement.desired_replicas import is_requested
 from zincvale.controlplane.placement.eviction import NO_EVICTION, Eviction, RequiredSpace
 from zincvale.controlplane.placement.items import ItemKey, ItemKind, ItemRow
 from zincvale.controlplane.placement.moves import Move, MoveReason, MoveState
@@ -116,7 +117,7 @@
     if any(_is_prefetch(move) for move in placement.calendar.moves.values()):
         return
     for server in idle:
-        key = _spare_replica(placement, server)
+        key = _spare_replica(placement, server, now)
         if key is not None:
             detail = "loaded again at once, to learn how long that takes from the server's disk"
             unload_plan = UnloadPlan(MoveReason.PREFETCH, detail)
@@ -125,17 +126,18 @@
             return
 
 
-def _spare_replica(placement: PlacementState, server: ServerState) -> ItemKey | None:
+def _spare_replica(placement: PlacementState, server: ServerState, now: float) -> ItemKey | None:
     """Return an unused model on the server that has more replicas than needed, or None.
 
-    A model with adapters there is not spare, since they would leave with it.
+    A model with requested adapters there is not spare, since they would leave with it.
     """
     for key, replica in server.replicas.items():
         item = placement.items.get(key)
         if item is None or item.kind is not ItemKind.MODEL:
             continue
         is_free = replica.state is ReplicaState.LOADED and replica.move_id is None
-        if any(adapter in server.replicas for adapter in item.adapters):
+        adapters = [adapter for adapter in item.adapters if adapter in server.replicas]
+        if any(is_requested(placement.items[adapter], now) for adapter in adapters):
             continue
         if is_free and item.ready > max(item.desired, item.min_replicas, 1) and not item.running:
             return key
