Placement: a server whose memory grows bounds an unknown size anew also where the bound was 0

Callers would see: a server that is ordered to load past weightsMb (LIMIT), after its declared memory grew. Cause: since the bound was learned anew only if it was above 0. Found by reading the change once more. Change: what asks is whether there is a copy of unknown size, not whether its bound is above 0. The same question spares the walk over all copies of a server where there is nothing unknown.

--- a/src/zincvale/controlplane/placement/servers.py
+++ b/src/zincvale/controlplane/placement/servers.py
@@ -198,9 +198,13 @@
 
     def forget_unknown_sizes(self) -> None:
         """Count nothing for unknown sizes if no replica of unknown size is left."""
-        if all(replica.is_size_known for replica in self.replicas.values()):
+        if self.unknown_bytes and not self.has_unknown_sizes():
             self.unknown_bytes = 0
 
+    def has_unknown_sizes(self) -> bool:
+        """Whether the server holds a replica of unknown size; the bound on it may be 0."""
+        return any(not replica.is_size_known for replica in self.replicas.values())
+
     def has_adapter_slot_now(self) -> bool:
         """Whether one more adapter fits now, beside all replicas and loads in flight."""
         return not self.adapter_slots or self.reserved_adapters < self.adapter_slots
--- a/src/zincvale/controlplane/placement/unknown_sizes.py
+++ b/src/zincvale/controlplane/placement/unknown_sizes.py
@@ -31,6 +31,6 @@
 
 def bound_unknown_sizes_anew(placement: PlacementState, server: ServerState) -> None:
     """Replace a bound that was learned with another memory size of the server."""
-    if server.unknown_bytes:
+    if server.has_unknown_sizes():
         server.unknown_bytes = UNBOUNDED_BYTES
         bound_unknown_sizes(placement, server)
--- a/tests/controlplane/placement/test_retired_copies_make_room.py
+++ b/tests/controlplane/placement/test_retired_copies_make_room.py
@@ -112,6 +112,15 @@
         self.assertEqual(MEMORY_BYTES, server.unknown_bytes)
         self.assertLessEqual(server.free_now_bytes(driver.config, 0), 0)
 
+    def test_memory_that_grows_bounds_an_unknown_size_anew(self) -> None:
+        """The known copies may have filled the memory that was told before."""
+        driver = make_driver(("a", "retired"), ("a", "wanted"), memory_bytes=MODEL_GB * GB)
+        driver.report()
+        driver.report("server-1", memory_bytes=MEMORY_BYTES)
+        server = driver.controller.state.servers["server-1"]
+        self.assertEqual(MEMORY_BYTES - MODEL_GB * GB, server.unknown_bytes)
+        self.assertLessEqual(server.free_now_bytes(driver.config, 0), 0)
+
     def test_a_server_that_is_listed_again_after_the_restart_is_bounded_again(self) -> None:
         driver = make_driver(("a", "retired"), ("a", "wanted"))
         take_over(driver, epoch=1)
