Soak: without cuts the processes start with the command of the deploy file again

Cause: gave -P to every process of the soak, though only the launcher of the cuts needs it, so that the runs without cuts no longer played the command that is deployed. Change: -P goes with the launcher only.

--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -224,9 +224,11 @@
             self._disturb(process.machine.name, now)
 
     def _command(self, role: str) -> list[str]:
-        script = START_SCRIPT if self.cuts is None else CUT_LAUNCHER
+        """Return the command of the deploy file, or that of the launcher if there are cuts."""
+        if self.cuts is None:
+            return [sys.executable, "-OO", "-S", str(START_SCRIPT), role]
         # Without -P the modules beside the launcher would hide modules of the standard library.
-        return [sys.executable, "-OO", "-S", "-P", str(script), role]
+        return [sys.executable, "-OO", "-S", "-P", str(CUT_LAUNCHER), role]
 
     def _environment(self, process: RoleProcess) -> dict[str, str]:
         environment = child_environment(process.settings)
