Observability: event 5027 names what is requested again and again and not served, and why

Cause: no log line told that a shortage was never attempted, that an attempt found every server busy, or why a planned load is not ordered. So the hypotheses about models and adapters that are never served could not be told apart. Change: each item counts its requests since it was last served and the newest attempt to plan a load of it (unserved.py); the leader logs the items that wait longer than expected with what was decided (report_unserved.py); the conditions of an order return the first obstacle (order_obstacles.py, moved out of dispatch.py). Spans of requests name model and adapter.

--- a/src/zincvale/controlplane/placement/__init__.py
+++ b/src/zincvale/controlplane/placement/__init__.py
@@ -14,21 +14,22 @@
 3. `review_items` : compute the desired replicas of each changed item and queue the shortages.
 4. `unload_undeclared`, `plan_loads`, `prefetch` : plan moves for surplus and missing replicas.
 5. `order_unloads`, `order_loads` : issue the orders, and check each limit again.
-6. `track_drains`, `request_statuses` : end complete drains, and request statuses that decisions
-   depend on.
+6. `track_drains`, `report_unserved`, `request_statuses` : end complete drains, log what is
+   requested and not served, and request statuses that decisions depend on.
 7. `trim_history`, `publish_changes` : publish the rows of the topic `moves` and the draining
    replicas.
 
 Suggested reading order:
 
-- Rows: `items`, `servers`, `stores`, `moves`, `config`; measurements: `demand`, `load_times`,
-  `disk_copies`.
+- Rows: `items`, `servers`, `stores`, `moves`, `config`; measurements: `demand`, `unserved`,
+  `load_times`, `disk_copies`.
 - State: `state` has all tables; its indexes and queues are `calendar`, `reviews`, `shortages`,
   `unplaced`, `undeclared`, `free_memory`, `server_index`, `drain_table`, `prefetch_state`.
 - Inputs: `apply_intent`, `apply_status`, `apply_demand`, `order_responses`, `leadership`;
   `order_confirmation` has the rules for orders whose outcome is not known.
 - Decisions: `replica_value`, `desired_replicas`, `load_candidates`, `choose_server`, `eviction`,
-  `victim_groups`, `load_moves`, `plan_loads`, `plan_unloads`, `prefetch`, `dispatch`, `drains`,
-  `move_completion`.
-- Output: `events`, `publication`, `move_row_codec`, `draining_row_codec`, `log_events`.
+  `victim_groups`, `load_moves`, `plan_loads`, `plan_unloads`, `prefetch`,
+  `order_obstacles`, `dispatch`, `drains`, `move_completion`.
+- Output: `events`, `report_unserved`, `publication`, `move_row_codec`, `draining_row_codec`,
+  `log_events`.
 """
--- a/src/zincvale/controlplane/placement/apply_demand.py
+++ b/src/zincvale/controlplane/placement/apply_demand.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from zincvale.controlplane.placement.events import DemandReported, DemandRow, UseRow
-from zincvale.controlplane.placement.items import ItemKey, adapter_key, model_key
+from zincvale.controlplane.placement.items import ItemKey, ItemRow, adapter_key, model_key
 from zincvale.controlplane.placement.prefetch import record_request
 from zincvale.controlplane.placement.state import NodeDemand, PlacementState
 from zincvale.model.identifiers import MemberId, ServerId
@@ -56,14 +56,22 @@
             is_first_request = item.demand.profile is None
             item.demand.add(row.requests, now, placement.config)
             record_request(placement, item, now)
-            if not item.ready:
-                item.unserved.add(row.requests, now)
+            _count_unserved(placement, item, row.requests, now)
             if is_first_request or (item.desired and not item.holders):
                 placement.queue_review(key)
         if row.waiting:
             waiting[key] = waiting.get(key, 0) + row.waiting
 
 
+def _count_unserved(placement: PlacementState, item: ItemRow, requests: int, now: float) -> None:
+    if item.ready:
+        item.unserved.clear()
+        placement.unserved.pop(item.key, None)
+        return
+    item.unserved.record(requests, now)
+    placement.unserved[item.key] = None
+
+
 def _count_running(
     placement: PlacementState, use: UseRow, running: dict[tuple[ServerId, ItemKey], int]
 ) -> None:
--- a/src/zincvale/controlplane/placement/controller.py
+++ b/src/zincvale/controlplane/placement/controller.py
@@ -45,6 +45,7 @@
 from zincvale.controlplane.placement.plan_unloads import unload_undeclared
 from zincvale.controlplane.placement.prefetch import prefetch
 from zincvale.controlplane.placement.publication import publish_changes, trim_history
+from zincvale.controlplane.placement.report_unserved import report_unserved
 from zincvale.controlplane.placement.state import PlacementState
 from zincvale.model.machine import ClockJumped, Tick
 
@@ -63,6 +64,7 @@
     order_unloads,
     order_loads,
     track_drains,
+    report_unserved,
     request_statuses,
     trim_history,
     publish_changes,
--- a/src/zincvale/controlplane/placement/dispatch.py
+++ b/src/zincvale/controlplane/placement/dispatch.py
@@ -13,6 +13,7 @@
 from zincvale.controlplane.placement.items import ItemKind, ItemRow
 from zincvale.controlplane.placement.move_completion import end_move, move_item_key
 from zincvale.controlplane.placement.moves import Move, MoveKind, MoveReason, MoveState
+from zincvale.controlplane.placement.order_obstacles import is_executing_order, order_obstacle
 from zincvale.controlplane.placement.replica_value import has_unmet_demand, unmet_demand
 from zincvale.controlplane.placement.servers import Replica, ReplicaState, ServerState
 from zincvale.controlplane.placement.state import PlacementState
@@ -52,24 +53,13 @@
         return
     if server.confirmed_epoch != placement.leadership.epoch or now < server.retry_at:
         return
-    if _is_blocked_by_order(placement, server):
+    if is_executing_order(placement, server):
         return
     order = _new_order(placement, move, OrderAction.UNLOAD)
     placement.set_replica_state(server, move_item_key(move), replica, ReplicaState.UNLOADING)
     _send_order(placement, move, server, order, now)
 
 
-def _is_blocked_by_order(placement: PlacementState, server: ServerState) -> bool:
-    """Whether the server must finish an order in flight before it gets another one."""
-    if not placement.config.serial_orders:
-        return False
-    moves = (
-        placement.calendar.moves[move_id]
-        for move_id in placement.calendar.by_server.get(server.server, ())
-    )
-    return any(move.in_flight for move in moves)
-
-
 def _is_unordered(placement: PlacementState, move_id: MoveId) -> bool:
     """Whether a move is unfinished and was not ordered yet."""
     move = placement.calendar.moves.get(move_id)
@@ -140,7 +130,7 @@
     is_small = item.weight_bytes <= placement.config.small_item_bytes
     if move.store in blocked_stores and not is_small:
         return
-    if not _may_order_now(placement, move, item, server, now):
+    if order_obstacle(placement, move, item, server, now) is not None:
         # A less urgent large pull must not go first and use up the store's rate.
         if has_unmet_demand(placement, item, now):
             blocked_stores.add(move.store)
@@ -166,28 +156,6 @@
     return ""
 
 
-def _may_order_now(
-    placement: PlacementState, move: Move, item: ItemRow, server: ServerState, now: float
-) -> bool:
-    config = placement.config
-    if any(needed in placement.calendar.moves for needed in move.after):
-        return False
-    if item.base is not None and server.replicas[item.base].state is not ReplicaState.LOADED:
-        return False
-    if server.confirmed_epoch != placement.leadership.epoch or now < server.retry_at:
-        return False
-    if server.loads_in_flight >= server.load_slots(config, now):
-        return False
-    if server.free_now_bytes(config, item.kv_bytes) < item.weight_bytes:
-        return False
-    if item.kind is ItemKind.ADAPTER and not server.has_adapter_slot_now():
-        return False
-    if _is_blocked_by_order(placement, server):
-        return False
-    store = placement.stores[move.store]
-    return store.may_order(item.weight_bytes, now, config)
-
-
 def _order_load(
     placement: PlacementState, move: Move, item: ItemRow, server: ServerState, now: float
 ) -> None:
--- a/src/zincvale/controlplane/placement/items.py
+++ b/src/zincvale/controlplane/placement/items.py
@@ -7,16 +7,14 @@
 
 import attrs
 
-from zincvale.controlplane.placement.demand import DecayedCount, Demand
+from zincvale.controlplane.placement.demand import Demand
+from zincvale.controlplane.placement.unserved import UnservedDemand
 from zincvale.model.identifiers import PoolName, ServerId, StoreName
 from zincvale.model.resources import Stake
 
 ItemKey = NewType("ItemKey", str)
 """Key of an item: `model/NAME` or `adapter/NAME`."""
 
-UNSERVED_HALF_LIFE_S = 5.0
-"""Half-life of the count of requests that found no ready replica, some of which were refused."""
-
 
 class ItemKind(enum.Enum):
     """Kind of an item."""
@@ -57,7 +55,7 @@
     ready, loading : number of its replicas that are ready, or being loaded, on servers that serve
         requests; updated by `PlacementState.recount_replica`.
     planned : servers on which a load is planned but not yet ordered.
-    unserved : decayed count of the requests that came while no replica was ready.
+    unserved : the requests that came while no replica was ready, since it was last served.
     waiting : requests that wait for it at the nodes now.
     waiting_since : when `waiting` last rose from 0.
     running : requests that run on it now.
@@ -92,7 +90,7 @@
     ready: int = 0
     loading: int = 0
     planned: dict[ServerId, None] = attrs.field(factory=dict)
-    unserved: DecayedCount = attrs.field(factory=lambda: DecayedCount(UNSERVED_HALF_LIFE_S))
+    unserved: UnservedDemand = attrs.field(factory=UnservedDemand)
     waiting: int = 0
     waiting_since: float = 0.0
     running: int = 0
--- a/src/zincvale/controlplane/placement/log_events.py
+++ b/src/zincvale/controlplane/placement/log_events.py
@@ -64,3 +64,8 @@
     "placement.undeclared-replica",
     "The leader found a replica that no resource declares; its size is not known.",
 )
+UNSERVED = declare(
+    5027,
+    "placement.unserved",
+    "A model or adapter is requested again and again and was not served; decision says why.",
+)
--- a/src/zincvale/controlplane/placement/move_completion.py
+++ b/src/zincvale/controlplane/placement/move_completion.py
@@ -138,7 +138,7 @@
     if item is None:
         return
     item.failures = 0
-    item.unserved.count = 0.0
+    item.unserved.recent.count = 0.0
     if move.reason is not MoveReason.FOUND_IN_PROGRESS:
         _record_load_time(placement, server, move, item, now)
     placement.queue_review(item.key)
--- a/src/zincvale/controlplane/placement/plan_loads.py
+++ b/src/zincvale/controlplane/placement/plan_loads.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 import heapq
 
 import attrs
@@ -28,6 +27,7 @@
 from zincvale.controlplane.placement.shortages import Shortage, current_item, drop_outdated_entries
 from zincvale.controlplane.placement.state import PlacementState
 from zincvale.controlplane.placement.stores import PlannedPulls, StoreState
+from zincvale.controlplane.placement.unserved import PlanResult
 from zincvale.model.identifiers import MoveId, StoreName
 
 REASON_BY_URGENCY = tuple(MoveReason)
@@ -40,16 +40,6 @@
 """Minimum interval between two log lines about the same item for which no server was found."""
 
 
-class PlanResult(enum.Enum):
-    """Result of one attempt to plan a load."""
-
-    PLANNED = "planned"
-    BUSY = "busy"
-    """All servers that could take the load are busy; the shortage stays queued."""
-    UNPLACED = "nowhere"
-    """No server can take the load, or it is worth less than what would be evicted for it."""
-
-
 def plan_loads(placement: PlacementState, now: float) -> None:
     """System: plan loads for the shortages of each store, if they can be ordered soon.
 
@@ -100,11 +90,13 @@
             continue
         reason = REASON_BY_URGENCY[entry.urgency]
         if not _store_has_capacity(placement, plan, item, reason, now):
+            item.unserved.record_attempt(PlanResult.STORE_BUSY, now)
             skipped.append(entry)
             continue
         budget -= 1
         result = _plan_load(placement, item, reason, now)
-        if result is PlanResult.BUSY:
+        item.unserved.record_attempt(result, now)
+        if result is PlanResult.SERVERS_BUSY:
             skipped.append(entry)
             continue
         item.shortage_stamp = 0
@@ -146,13 +138,14 @@
     try:
         choice = find_candidate(placement, item, reason, now)
     except AllServersBusyError:
-        return PlanResult.BUSY
-    if choice is None or not is_worth_loading(placement, item, reason, choice, now):
-        placement.unplaced.add(item.key)
-        _log_unplaced(placement, item, reason, choice, now)
-        if reason is not MoveReason.WAITING_REQUESTS:
-            item.placement_retry_at = now + placement.config.review_interval_s
-        return PlanResult.UNPLACED
+        return PlanResult.SERVERS_BUSY
+    if choice is None:
+        _set_aside(placement, item, reason, PlanResult.NO_SERVER.value, now)
+        return PlanResult.NO_SERVER
+    if not is_worth_loading(placement, item, reason, choice, now):
+        limit = f"what would leave {choice.server.server} is worth more"
+        _set_aside(placement, item, reason, limit, now)
+        return PlanResult.NOT_WORTH
     add_load_moves(placement, item, reason, choice, now)
     if item.kind is ItemKind.MODEL:
         placement.queue_adapters(item)
@@ -161,16 +154,23 @@
     return PlanResult.PLANNED
 
 
+def _set_aside(
+    placement: PlacementState, item: ItemRow, reason: MoveReason, limit: str, now: float
+) -> None:
+    """Leave an item for which no server was found to a later review, and log why."""
+    placement.unplaced.add(item.key)
+    _log_unplaced(placement, item, reason, limit, now)
+    if reason is not MoveReason.WAITING_REQUESTS:
+        item.placement_retry_at = now + placement.config.review_interval_s
+
+
 def _log_unplaced(
-    placement: PlacementState, item: ItemRow, reason: MoveReason, choice: Choice | None, now: float
+    placement: PlacementState, item: ItemRow, reason: MoveReason, limit: str, now: float
 ) -> None:
     """Log why no server was found for a desired replica; at most once per interval and item."""
     if now < item.unplaced_logged_at + UNPLACED_LOG_INTERVAL_S:
         return
     item.unplaced_logged_at = now
-    limit = "every server that may take it is full of copies in use, pinned or moving"
-    if choice is not None:
-        limit = f"what would leave {choice.server.server} is worth more"
     placement.log(
         log_events.NOTHING_FITS,
         name=item.name,
@@ -278,7 +278,7 @@
 def _unmet_demand_detail(item: ItemRow, now: float) -> str:
     if item.waiting:
         return f", {item.waiting} requests wait since {now - item.waiting_since:.1f} s"
-    unserved = item.unserved.current(now)
+    unserved = item.unserved.recent.current(now)
     if unserved >= MIN_UNMET_DEMAND:
         return f", about {unserved:.0f} requests came lately and found no copy"
     return f", {item.min_replicas} copies are declared"
--- a/src/zincvale/controlplane/placement/prefetch.py
+++ b/src/zincvale/controlplane/placement/prefetch.py
@@ -208,7 +208,7 @@
         and not item.planned
         and not placement.is_on_disk(item)
     ]
-    missing.sort(key=lambda item: item.unserved.count)
+    missing.sort(key=lambda item: item.unserved.recent.count)
     return missing
 
 
--- a/src/zincvale/controlplane/placement/replica_value.py
+++ b/src/zincvale/controlplane/placement/replica_value.py
@@ -66,7 +66,7 @@
     counts as if at least one request waited. The weight grows with the time that requests have been
     waiting.
     """
-    requests = item.waiting + item.unserved.current(now) + overload(placement, item)
+    requests = item.waiting + item.unserved.recent.current(now) + overload(placement, item)
     if item.min_replicas:
         requests = max(requests, 1.0)
     wait_factor = 1.0
--- a/src/zincvale/controlplane/placement/state.py
+++ b/src/zincvale/controlplane/placement/state.py
@@ -87,6 +87,8 @@
     Attributes
     ----------
     running : requests that nodes report as running, by server and item.
+    unserved : items that were requested and not served since, the longest unserved first.
+    unserved_reported_at : when the items that are not served were last checked.
     nodes_checked_at : when the nodes were last checked for expired reports.
     oldest_node_report : arrival of the oldest among the newest reports of all nodes.
     adapters_by_base : declared adapters by base model; `ItemRow.adapters` of the model is the same
@@ -115,6 +117,8 @@
     server_index: ServerIndex = attrs.field(factory=ServerIndex)
     nodes: dict[MemberId, NodeDemand] = attrs.field(factory=dict)
     running: dict[tuple[ServerId, ItemKey], int] = attrs.field(factory=dict)
+    unserved: dict[ItemKey, None] = attrs.field(factory=dict)
+    unserved_reported_at: float = 0.0
     nodes_checked_at: float = 0.0
     oldest_node_report: float = 0.0
     load_times: LoadTimes = attrs.field(factory=LoadTimes)
--- a/src/zincvale/dataplane/forwarding/forwarded_request.py
+++ b/src/zincvale/dataplane/forwarding/forwarded_request.py
@@ -105,10 +105,7 @@
         """Count the request, start its deadline timer and select a server."""
         context = self._context
         context.active_requests.add(self)
-        self._span = context.spans.start(
-            "request",
-            attributes={"route": self._route.name, "request_id": self._facts.request_id},
-        )
+        self._span = context.spans.start("request", attributes=self._span_attributes())
         context.routing.retry_budget(self._pool).record_request(context.clock())
         context.record_request(self._pool, self._facts.prompt)
         loop = asyncio.get_running_loop()
@@ -120,6 +117,15 @@
         """End the request: the caller closed its connection."""
         self._feed(CallerDisconnected())
 
+    def _span_attributes(self) -> dict[str, str]:
+        attributes = {"route": self._route.name, "request_id": self._facts.request_id}
+        prompt = self._facts.prompt
+        if prompt is not None:
+            attributes["model"] = prompt.model
+        if prompt is not None and prompt.adapter:
+            attributes["adapter"] = prompt.adapter
+        return attributes
+
     # --- listener of the exchange with the server -----------------------------------------
 
     def on_not_sent(self, reason: str) -> None:
