--- a/src/zincvale/simulator/commands.py
+++ b/src/zincvale/simulator/commands.py
@@ -29,6 +29,8 @@
 from zincvale.simulator.schedules.run import Outcome, run_schedule
 from zincvale.simulator.schedules.schedule import Schedule, describe
 from zincvale.simulator.schedules.schedule_files import read_schedule, write_schedule
+from zincvale.simulator.serving.day import changes_of_day, run_day
+from zincvale.simulator.serving.shapes import POOLS
 
 EXIT_FAILURE = 1
 """Exit status when an invariant was violated or a mutation was not detected."""
@@ -107,6 +109,30 @@
         if broken:
             sys.exit(EXIT_FAILURE)
 
+    def serving(self, seeds: str = "1..5", pool: str = "large", leader_changes: int = 1) -> None:
+        """Place models for a day of shifting demand; exit non-zero if too much is never served.
+
+        Args:
+            seeds: `A..B`, both included.
+            pool: size of the pool, `large` or `medium`.
+            leader_changes: how often the placement leader is cut off.
+        """
+        if pool not in POOLS:
+            raise InvalidInputError(f"no pool {pool!r}", f"one of {', '.join(POOLS)}")
+        changes = changes_of_day(leader_changes)
+        is_failed = False
+        for seed in parse_seeds(seeds):
+            outcome = run_day(seed, POOLS[pool], changes)
+            never_served = outcome.never_served()
+            is_failed |= len(never_served) > outcome.tolerated() or bool(outcome.problems)
+            print(f"seed {seed}: {outcome.summary()}", flush=True)
+            for name in never_served:
+                print(f"    {name}: {'; '.join(outcome.decisions(name))}")
+            for problem in outcome.problems:
+                print(f"    {problem}")
+        if is_failed:
+            sys.exit(EXIT_FAILURE)
+
     def replay(self, file: str, shrink: bool = False, save: str = "") -> None:
         """Run a saved schedule, or the schedule of a seed; exit non-zero on a violation.
 
