Placement: models that wait for a free server no longer keep adapters and other models from being attempted

Cause: plan_loads made 16 attempts a run over the queues of all stores, one store after the other, most urgent first, and an attempt that found all servers busy counted. Such a shortage stays at the head of its queue. So 16 models that wait for a server (or for the one server with their weights on disk) used up every run; the store of adapters, which came second, was never reached, and neither was anything behind the sixteenth. Change: an attempt that finds the store or the servers busy takes none of the budget (at most 64 such a store and run, as before), and the stores take turns, each run beginning with another.

--- a/src/zincvale/controlplane/placement/plan_loads.py
+++ b/src/zincvale/controlplane/placement/plan_loads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import deque
 
 import attrs
 
@@ -32,10 +33,13 @@
 
 REASON_BY_URGENCY = tuple(MoveReason)
 """The move reasons in planning order; the index of a reason is its urgency, 0 the most urgent."""
-MAX_SKIPPED_SHORTAGES = 64
-"""Limit on the shortages of one store that a run skips because the store or the servers are busy.
+MAX_PASSED_SHORTAGES = 64
+"""Limit on the shortages of one store that a run attempts although the store or the servers are
+busy.
 
 A higher limit makes each run take longer."""
+BUSY_RESULTS = frozenset({PlanResult.STORE_BUSY, PlanResult.SERVERS_BUSY})
+"""Results that leave a shortage in its queue; they take none of the run's budget."""
 UNPLACED_LOG_INTERVAL_S = 10.0
 """Minimum interval between two log lines about the same item for which no server was found."""
 
@@ -44,27 +48,51 @@
     """System: plan loads for the shortages of each store, if they can be ordered soon.
 
     A load planned too early would reserve its server and drain replicas for it, although a more
-    urgent load may arrive before it can be ordered.
+    urgent load may arrive before it can be ordered. The stores take turns, so that the shortages of
+    one do not use up the run's budget.
     """
     if not placement.leadership.is_leader or not placement.leadership.is_takeover_complete:
         return
-    planned = _planned_by_store(placement)
+    plans = _store_plans(placement)
+    turns = deque(plans)
     budget = placement.config.plan_budget
-    for name, queue in placement.shortages.by_store.items():
-        drop_outdated_entries(queue, placement.items)
-        store = placement.stores.get(name)
-        if store is not None:
-            pulls = planned.setdefault(name, PlannedPulls())
-            budget = _plan_store(placement, _StorePlan(store, queue, pulls), budget, now)
+    while turns and budget > 0:
+        plan = turns.popleft()
+        result = _attempt_next(placement, plan, now)
+        if result is not None:
+            budget -= result not in BUSY_RESULTS
+            turns.append(plan)
+    for plan in plans:
+        for shortage in plan.passed:
+            heapq.heappush(plan.queue, shortage)
 
 
 @attrs.frozen
 class _StorePlan:
-    """A store, the shortages of its items, and its loads that are planned but not yet ordered."""
+    """A store, the shortages of its items, and its loads that are planned but not yet ordered.
+
+    Attributes
+    ----------
+    passed : shortages that this run attempted in vain, because the store or the servers are busy;
+        they stay queued.
+    """
 
     store: StoreState
     queue: list[Shortage]
     planned: PlannedPulls
+    passed: list[Shortage] = attrs.field(factory=list)
+
+
+def _store_plans(placement: PlacementState) -> list[_StorePlan]:
+    planned = _planned_by_store(placement)
+    plans = []
+    for name in placement.shortages.stores_in_turn():
+        queue = placement.shortages.by_store[name]
+        drop_outdated_entries(queue, placement.items)
+        store = placement.stores.get(name)
+        if store is not None:
+            plans.append(_StorePlan(store, queue, planned.setdefault(name, PlannedPulls())))
+    return plans
 
 
 def _planned_by_store(placement: PlacementState) -> dict[StoreName, PlannedPulls]:
@@ -76,35 +104,34 @@
     return planned
 
 
-def _plan_store(placement: PlacementState, plan: _StorePlan, budget: int, now: float) -> int:
-    """Plan loads from one store; return how many more loads this run may plan."""
-    queue = plan.queue
-    skipped: list[Shortage] = []
-    while queue and budget > 0 and len(skipped) < MAX_SKIPPED_SHORTAGES:
-        entry = heapq.heappop(queue)
-        item = current_item(placement.items, entry)
+def _attempt_next(placement: PlacementState, plan: _StorePlan, now: float) -> PlanResult | None:
+    """Attempt the next shortage of a store; return None if this run attempts no more of them."""
+    while plan.queue and len(plan.passed) < MAX_PASSED_SHORTAGES:
+        shortage = heapq.heappop(plan.queue)
+        item = current_item(placement.items, shortage)
         if item is None:
             continue
-        if not _has_shortage(placement, item):
-            item.shortage_stamp = 0
-            continue
-        reason = REASON_BY_URGENCY[entry.urgency]
-        if not _store_has_capacity(placement, plan, item, reason, now):
-            item.unserved.record_attempt(PlanResult.STORE_BUSY, now)
-            skipped.append(entry)
-            continue
-        budget -= 1
-        result = _plan_load(placement, item, reason, now)
-        item.unserved.record_attempt(result, now)
-        if result is PlanResult.SERVERS_BUSY:
-            skipped.append(entry)
-            continue
+        if _has_shortage(placement, item):
+            return _attempt(placement, plan, item, shortage, now)
         item.shortage_stamp = 0
-        if result is PlanResult.PLANNED:
-            plan.planned.add(item.weight_bytes)
-    for entry in skipped:
-        heapq.heappush(queue, entry)
-    return budget
+    return None
+
+
+def _attempt(
+    placement: PlacementState, plan: _StorePlan, item: ItemRow, shortage: Shortage, now: float
+) -> PlanResult:
+    reason = REASON_BY_URGENCY[shortage.urgency]
+    result = PlanResult.STORE_BUSY
+    if _store_has_capacity(placement, plan, item, reason, now):
+        result = _plan_load(placement, item, reason, now)
+    item.unserved.record_attempt(result, now)
+    if result in BUSY_RESULTS:
+        plan.passed.append(shortage)
+        return result
+    item.shortage_stamp = 0
+    if result is PlanResult.PLANNED:
+        plan.planned.add(item.weight_bytes)
+    return result
 
 
 def _store_has_capacity(
--- a/src/zincvale/controlplane/placement/shortages.py
+++ b/src/zincvale/controlplane/placement/shortages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import deque
 from typing import NamedTuple
 
 import attrs
@@ -38,6 +39,8 @@
     """Heaps of shortages: `desired_replicas` adds entries, `plan_loads` removes them."""
 
     by_store: dict[StoreName, list[Shortage]] = attrs.field(factory=dict)
+    _turns: deque[StoreName] = attrs.field(factory=deque)
+    """The stores in the order of the newest run."""
     _next_stamp: int = 1
 
     def add(self, item: ItemRow, urgency: int, rank: float) -> None:
@@ -46,9 +49,17 @@
         self._next_stamp += 1
         item.shortage_stamp = stamp
         item.shortage_urgency = urgency
-        queue = self.by_store.setdefault(item.store, [])
+        queue = self.by_store.get(item.store)
+        if queue is None:
+            queue = self.by_store[item.store] = []
+            self._turns.append(item.store)
         heapq.heappush(queue, Shortage(urgency, rank, stamp, item.key))
 
+    def stores_in_turn(self) -> list[StoreName]:
+        """Return the stores with a queue; each call begins with the next one."""
+        self._turns.rotate(-1)
+        return list(self._turns)
+
 
 def current_item(items: dict[ItemKey, ItemRow], shortage: Shortage) -> ItemRow | None:
     """Return the item of an entry, or None if the entry is outdated."""
