Placement: a load is planned only when the store's window allows it, so that nothing is unloaded for it seconds too early

What callers saw: after a change of leader models that were in use or just loaded left their servers, and what should replace them came seconds later, so that requests for both were refused meanwhile. Cause: planning looked at the store's concurrent loads and its backlog, not at the loads that may begin in a window. A new leader assumes that its predecessor used the window up but for three loads; for up to five seconds it planned some seventy loads, unloaded what was to make room for them, and could order three. Change: StoreState.may_plan counts the window at the time of the order, together with the loads planned before.

--- a/src/zincvale/controlplane/placement/stores.py
+++ b/src/zincvale/controlplane/placement/stores.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections import deque
 
@@ -65,9 +66,9 @@
 
     def may_order(self, item_bytes: int, now: float, config: PlacementConfig) -> bool:
         """Whether a load of `item_bytes` may be ordered now."""
-        if self.occupied_slots(now) >= self.max_concurrent_loads or not self._window_allows_load(
-            now
-        ):
+        if self.occupied_slots(now) >= self.max_concurrent_loads:
+            return False
+        if not self._window_allows(1, now):
             return False
         self._update_backlog(now, config)
         burst = self.bytes_per_second * config.store_burst_s
@@ -83,6 +84,8 @@
         """Whether a load may be planned for the time `at`, in addition to those in `planned`."""
         if self.occupied_slots(now) + planned.count >= self.max_concurrent_loads:
             return False
+        if not self._window_allows(planned.count + 1, at):
+            return False
         if item_bytes <= config.small_item_bytes:
             return True
         self._update_backlog(now, config)
@@ -94,6 +97,7 @@
         self._update_backlog(now, config)
         self.in_flight += 1
         if self.loads_per_window:
+            self._forget_old_starts(now)
             self._load_starts.append(now)
         self.backlog_bytes += item_bytes
         if item_bytes <= config.small_item_bytes:
@@ -140,14 +144,20 @@
 
     def loads_in_window(self, now: float) -> int:
         """Return how many loads started in the window that ends now."""
-        self._window_allows_load(now)
+        self._forget_old_starts(now)
         return len(self._load_starts)
 
-    def _window_allows_load(self, now: float) -> bool:
-        """Whether one more load may start now; forgets the starts before the window."""
+    def _forget_old_starts(self, now: float) -> None:
         while self._load_starts and self._load_starts[0] <= now - self.window_s:
             self._load_starts.popleft()
-        return not self.loads_per_window or len(self._load_starts) < self.loads_per_window
+
+    def _window_allows(self, loads: int, at: float) -> bool:
+        """Whether `loads` more loads may start at `at`, now or later."""
+        if not self.loads_per_window:
+            return True
+        expired = itertools.takewhile(lambda start: start <= at - self.window_s, self._load_starts)
+        in_window = len(self._load_starts) - sum(1 for _ in expired)
+        return in_window + loads <= self.loads_per_window
 
     def _update_backlog(self, now: float, config: PlacementConfig) -> None:
         elapsed = max(now - self.backlog_updated_at, 0.0)
--- a/tests/controlplane/placement/test_demand.py
+++ b/tests/controlplane/placement/test_demand.py
@@ -18,7 +18,7 @@
 from zincvale.controlplane.placement.events import IntentChanged
 from zincvale.controlplane.placement.items import model_key
 from zincvale.controlplane.placement.load_times import LoadTimes
-from zincvale.controlplane.placement.stores import StoreState
+from zincvale.controlplane.placement.stores import PlannedPulls, StoreState
 
 CONFIG = PlacementConfig(day_s=4800.0)
 
@@ -171,3 +171,15 @@
         self.assertEqual((0, 0), (item.waiting, item.running))
         driver.demand(("alpha", None, 0, 1), use=(("server-1", "alpha", 2),))
         self.assertEqual((1, 2), (item.waiting, item.running))
+
+    def test_a_load_is_planned_only_for_a_time_at_which_the_window_allows_it(self):
+        config = PlacementConfig(store_burst_s=100.0)
+        store = StoreState("weights", "10.0.9.1:9100", GB, 10, loads_per_window=2, window_s=5.0)
+        store.record_order(GB, 0.0, config)
+        store.record_order(GB, 1.0, config)
+        none_planned, one_planned = PlannedPulls(), PlannedPulls(1, GB)
+        self.assertFalse(store.may_plan(GB, none_planned, 4.9, 4.0, config))
+        self.assertTrue(store.may_plan(GB, none_planned, 5.0, 4.0, config))
+        self.assertFalse(store.may_plan(GB, one_planned, 5.0, 4.0, config))
+        self.assertFalse(store.may_order(GB, 4.9, config))
+        self.assertTrue(store.may_order(GB, 5.0, config))
