Placement: an adapter is loaded on a server that can load it at once, rather than behind a model's load

What callers saw: requests for an adapter were refused or left after seconds although its model served others on several servers. Cause: a server executes one order at a time. An adapter, loaded in some milliseconds, went to the server with a free slot or with the cheapest eviction, whether or not that server was loading a model for seconds. Change: among the servers with the base model those without a load running or planned come first, if what would leave there is worth less than the adapter; otherwise as before. Evidence: AdapterBesideLoadTest failed before.

--- a/src/zincvale/controlplane/placement/choose_server.py
+++ b/src/zincvale/controlplane/placement/choose_server.py
@@ -63,6 +63,18 @@
     return _best_choice(placement, space, candidates, now, spread_first=spread_first)
 
 
+def choose_idle_server(
+    placement: PlacementState, space: RequiredSpace, now: float
+) -> Choice | None:
+    """Return the best server among those on which no load is running or planned, or None."""
+    candidates = [
+        server
+        for server in _servers_free_to_load(placement, space.item, now)
+        if not _pending_loads(server)
+    ]
+    return _best_choice(placement, space, candidates, now, spread_first=False)
+
+
 def choose_by_disk(placement: PlacementState, space: RequiredSpace, now: float) -> Choice | None:
     """Return the best server among those with the item's weights on their own disk.
 
--- a/src/zincvale/controlplane/placement/load_candidates.py
+++ b/src/zincvale/controlplane/placement/load_candidates.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from zincvale.controlplane.placement.choose_server import Choice, choose_by_disk, choose_server
+from zincvale.controlplane.placement.choose_server import (
+    Choice,
+    choose_by_disk,
+    choose_idle_server,
+    choose_server,
+)
 from zincvale.controlplane.placement.eviction import RequiredSpace
 from zincvale.controlplane.placement.items import ItemKind, ItemRow
 from zincvale.controlplane.placement.moves import MoveReason
@@ -26,16 +31,16 @@
 ) -> Choice | None:
     """Return the best server for a load, if possible with memory for the model's adapters.
 
-    The adapters that count are those that were requested and are not ready. A server with the
-    weights on its own disk is preferred if a load from there is faster.
+    The adapters that count are those that were requested and are not ready. For a model, a server
+    with the weights on its own disk is preferred if a load from there is faster; for an adapter, a
+    server that executes one order at a time and has none to execute.
 
     Raises `AllServersBusyError` if some servers could take the load, but none of them soon.
     """
     may_drain = item.waiting > 0 and now - item.waiting_since > DRAIN_DELAY_S
-    if placement.config.servers_keep_weights and item.kind is ItemKind.MODEL:
-        choice = choose_by_disk(placement, RequiredSpace(item, item.weight_bytes, may_drain), now)
-        if choice is not None and is_worth_loading(placement, item, reason, choice, now):
-            return choice
+    preferred = _soonest_choice(placement, RequiredSpace(item, item.weight_bytes, may_drain), now)
+    if preferred is not None and is_worth_loading(placement, item, reason, preferred, now):
+        return preferred
     spread_first = reason is MoveReason.MIN_REPLICAS
     adapter_bytes = _adapter_reserve_bytes(placement, item)
     for extra in (adapter_bytes, 0) if adapter_bytes else (0,):
@@ -46,6 +51,18 @@
     return None
 
 
+def _soonest_choice(placement: PlacementState, space: RequiredSpace, now: float) -> Choice | None:
+    """Return the best server on which the load would end sooner than elsewhere, or None.
+
+    Raises `AllServersBusyError` if such a server is busy and worth waiting for.
+    """
+    config = placement.config
+    if space.item.kind is ItemKind.MODEL:
+        return choose_by_disk(placement, space, now) if config.servers_keep_weights else None
+    # Behind the load of a model, an adapter waits many times as long as its own load takes.
+    return choose_idle_server(placement, space, now) if config.serial_orders else None
+
+
 def _adapter_reserve_bytes(placement: PlacementState, item: ItemRow) -> int:
     """Return the memory to reserve for the model's requested adapters that are not ready."""
     limit = int(item.weight_bytes * placement.config.adapter_reserve_fraction)
--- a/tests/controlplane/placement/test_blocked_loads.py
+++ b/tests/controlplane/placement/test_blocked_loads.py
@@ -18,7 +18,7 @@
 from zincvale.controlplane.placement.config import PlacementConfig
 from zincvale.controlplane.placement.events import Effect
 from zincvale.controlplane.placement.items import adapter_key
-from zincvale.model.resources import AdapterSpec, StoreSpec
+from zincvale.model.resources import AdapterSpec, PoolSpec, StoreSpec
 
 CONFIG = PlacementConfig(
     fill_free_memory=False,
@@ -116,3 +116,31 @@
         effects = run_and_complete(driver, 3.0)
         self.assertEqual(2, len(loads_in(effects)))
         self.assertEqual(2, len(unloads_in(effects)))
+
+
+class AdapterBesideLoadTest(testtools.TestCase):
+    """The base model is on two servers; one runs a load, the other's adapter slot is taken."""
+
+    def test_an_adapter_is_loaded_on_the_server_that_can_load_it_at_once(self):
+        rows = {
+            "server-1": make_row("server-1", models=frozenset({"base"})),
+            "server-2": make_row(
+                "server-2",
+                models=frozenset({"base"}),
+                adapters=frozenset({"base-idle"}),
+                memory_bytes=12 * GB,
+            ),
+        }
+        spec = AdapterSpec("base", GB // 10, "adapters")
+        intent = attrs.evolve(
+            make_intent({"base": 8, "large": 25}, stores=STORES),
+            pools={"chat": PoolSpec(max_concurrent_per_server=16, adapter_slots=1)},
+            adapters={"base-a1": spec, "base-idle": spec},
+        )
+        driver = Driver(intent, rows, CONFIG)
+        driver.lead()
+        driver.demand(("large", None, 1, 1))
+        driver.accept(orders_in(driver.tick(0.5)))
+        self.assertEqual([("server-1", "large")], loads_in(driver.seen))
+        driver.demand(("base", "base-a1", 1, 1), node="node-2")
+        self.assertEqual([("server-2", "base-a1")], loads_in(run_and_complete(driver, 1.0)))
