--- a/src/zincvale/simulator/serving/arrivals.py
+++ b/src/zincvale/simulator/serving/arrivals.py
@@ -38,14 +38,23 @@
     ----------
     shifts : (begin, end) of each time in which popularity moves on to other models.
     bursts : (begin, end) of each time in which rare models are asked for more often.
+    replacements : when some rare models are retired and others are declared.
     """
 
     seconds: float
     shifts: tuple[tuple[float, float], ...]
     bursts: tuple[tuple[float, float], ...]
+    replacements: tuple[float, ...] = ()
+
+    def rare_models(self, shape: PoolShape, at: float) -> range:
+        """Return the numbers of the rare models that are declared at a time."""
+        done = sum(replacement <= at for replacement in self.replacements)
+        return shape.rare_models(done, len(self.replacements) - done)
 
 
 DAY = DemandPlan(34.0, ((1.0, 8.5), (14.0, 21.0), (24.0, 31.5)), ((10.5, 15.0),))
+DAY_WITH_REPLACEMENTS = attrs.evolve(DAY, replacements=(4.0, 9.0))
+"""The second replacement comes before the leader changes, so that retired copies are left over."""
 
 
 def draw_arrivals(shape: PoolShape, plan: DemandPlan, source: random.Random) -> list[Arrival]:
@@ -67,7 +76,7 @@
     at = 0.0
     while (at := at + source.expovariate(_rate(plan, kind, at))) < plan.seconds:
         if kind.popularity is Popularity.RARE:
-            model = source.randrange(shape.models_with_demand_in_turn, shape.models)
+            model = source.choice(plan.rare_models(shape, at))
         else:
             rank = source.choices(range(shape.popular_models), weights)[0]
             model = min(rank + _places_moved(plan, at, source), len(adapter_counts) - 1)
--- a/src/zincvale/simulator/serving/cores.py
+++ b/src/zincvale/simulator/serving/cores.py
@@ -70,6 +70,7 @@
         publish: Callable[[ServerId, frozenset[str]], None],
     ) -> None:
         self.epoch = 0
+        self._is_stopped = False
         self.controller = PlacementController(random.Random(seed), placement_config(ORDER_QUIET_S))
         self._loop = loop
         self._engines = engines
@@ -78,7 +79,12 @@
         self._residency = ResidencyPublisher(
             lambda: self.controller.state.servers, self._publish_topic
         )
-        self.feed(IntentChanged(IntentDeriver(StoreConfig()).update(document)))
+        self._intent = IntentDeriver(StoreConfig())
+        self.apply_document(document)
+
+    def apply_document(self, document: ForwardingDocument) -> None:
+        """Apply a newer document."""
+        self.feed(IntentChanged(self._intent.update(document)))
 
     def start(self, offset_s: float) -> None:
         """Begin to tick and to read the list of servers."""
@@ -108,7 +114,13 @@
     def _renew(self) -> None:
         self.feed(LeaderGained(self.epoch, self._loop.time() + LEASE_S))
 
+    def stop(self) -> None:
+        """End the process."""
+        self._is_stopped = True
+
     def _tick(self) -> None:
+        if self._is_stopped:
+            return
         self._loop.call_later(TICK_S, self._tick)
         if self.epoch:
             self._renew()
@@ -118,6 +130,8 @@
 
     def _read_list(self) -> None:
         """Take the list of servers, except for those that this leader has confirmed."""
+        if self._is_stopped:
+            return
         self._loop.call_later(LIST_INTERVAL_S, self._read_list)
         now = self._loop.time()
         known = self.controller.state.servers
--- a/src/zincvale/simulator/serving/day.py
+++ b/src/zincvale/simulator/serving/day.py
@@ -20,12 +20,14 @@
     ServingNode,
 )
 from zincvale.simulator.serving.outcome import DayOutcome
-from zincvale.simulator.serving.shapes import POOL, PoolShape, popularity_weight
+from zincvale.simulator.serving.shapes import PoolShape, popularity_weight
 from zincvale.simulator.virtual_loop import VirtualLoop
 
 ZONES = tuple(ZoneName(f"z{number}") for number in range(3))
 """Zones; each has one core, and nodes that report their demand to it."""
 NODES_PER_ZONE = 4
+CORE_OFFSET_S = 0.01
+"""Difference between the ticks of two cores."""
 LEAD_S = 12.0
 """Time before the first request, in which the servers become known."""
 POPULAR_COPIES_FRACTION = 0.4
@@ -41,12 +43,15 @@
     lost_after_s : time from `at` until the lease of the leader that is cut off ends.
     vacant_s : time from then until another core leads.
     cut_s : time for which the core that is cut off takes no reports of its zone's nodes.
+    restarts_cores : all other cores are killed and started at the same time, so that the next
+        leader knows of earlier documents only what the servers still hold.
     """
 
     at: float
     lost_after_s: float = 1.3
     vacant_s: float = 0.7
     cut_s: float = 4.5
+    restarts_cores: bool = False
 
 
 FIRST_CHANGE_S = 11.0
@@ -54,10 +59,11 @@
 """Time between two changes of leader; a new leader orders loads for some seconds of it."""
 
 
-def changes_of_day(count: int) -> tuple[LeaderChange, ...]:
+def changes_of_day(count: int, *, restarts_cores: bool = False) -> tuple[LeaderChange, ...]:
     """Return the changes of leader of a day."""
     return tuple(
-        LeaderChange(FIRST_CHANGE_S + number * CHANGE_INTERVAL_S) for number in range(count)
+        LeaderChange(FIRST_CHANGE_S + number * CHANGE_INTERVAL_S, restarts_cores=restarts_cores)
+        for number in range(count)
     )
 
 
@@ -82,31 +88,23 @@
         self._leader = 0
         self._cut_until = [0.0] * len(ZONES)
         self.outcome = DayOutcome(seed)
-        self._document = shape.document()
+        self._document = shape.document(1, plan.rare_models(shape, 0.0))
         self._engines = self._make_engines()
         self._residency = PublishedResidency()
-        self._cores = [
-            ServingCore(
-                self._random.randrange(1 << 30),
-                self._loop,
-                self._engines,
-                self._document,
-                self.outcome,
-                self._publish,
-            )
-            for _ in ZONES
-        ]
+        self._cores = [self._new_core() for _ in ZONES]
         self._nodes = self._make_nodes()
 
     def run(self) -> DayOutcome:
         """Run the day and return what was served."""
         for index, core in enumerate(self._cores):
-            core.start(0.01 * (index + 1))
+            core.start(CORE_OFFSET_S * (index + 1))
         for number, node in enumerate(self._nodes):
             node.start(0.5 * number / len(self._nodes))
         self._loop.call_later(1.0, self._cores[0].lead, 1)
         for number, change in enumerate(self._leader_changes):
             self._loop.call_later(LEAD_S + change.at, self._cut_leader, change, number + 2)
+        for version, at in enumerate(self._plan.replacements, start=2):
+            self._loop.call_later(LEAD_S + at, self._replace_models, version, at)
         for arrival in draw_arrivals(self._shape, self._plan, self._random):
             shifted = attrs.evolve(arrival, at=arrival.at + LEAD_S)
             request = CallerRequest(
@@ -122,13 +120,12 @@
     # --- the pool ---------------------------------------------------------------------------
 
     def _make_engines(self) -> dict[ServerId, EngineServer]:
-        engine_spec = self._document.pools[POOL].engine
-        assert engine_spec is not None
+        models = self._shape.all_models()
         engines = {}
         for number in range(self._shape.servers):
             name = ServerId(f"server-{number:03}")
             engines[name] = EngineServer(
-                name, ZONES[number % len(ZONES)], self._shape, engine_spec.models, self._loop
+                name, ZONES[number % len(ZONES)], self._shape, models, self._loop
             )
         self._place_models(list(engines.values()))
         return engines
@@ -144,7 +141,8 @@
             for name, weight in zip(names, weights, strict=False)
             for _ in range(max(1, round(copies * weight / sum(weights))))
         ]
-        others = names[self._shape.popular_models :]
+        declared = self._plan.rare_models(self._shape, 0.0)
+        others = names[self._shape.popular_models : declared.stop]
         self._random.shuffle(others)
         for name in (*wanted, *others):
             self._place(name, engines, room)
@@ -192,9 +190,36 @@
         if leader != zone and self._cores[leader].epoch:
             self._loop.call_later(2 * MESSAGE_S, self._cores[leader].on_demand, report)
 
+    def _replace_models(self, version: int, at: float) -> None:
+        """Retire some rare models and declare others."""
+        self._document = self._shape.document(version, self._plan.rare_models(self._shape, at))
+        for core in self._cores:
+            core.apply_document(self._document)
+        for node in self._nodes:
+            node.apply_document(self._document)
+
     # --- the leader lease ---------------------------------------------------------------------
 
+    def _new_core(self) -> ServingCore:
+        return ServingCore(
+            self._random.randrange(1 << 30),
+            self._loop,
+            self._engines,
+            self._document,
+            self.outcome,
+            self._publish,
+        )
+
+    def _restart_followers(self) -> None:
+        for index, core in enumerate(self._cores):
+            if index != self._leader:
+                core.stop()
+                self._cores[index] = self._new_core()
+                self._cores[index].start(CORE_OFFSET_S * (index + 1))
+
     def _cut_leader(self, change: LeaderChange, epoch: int) -> None:
+        if change.restarts_cores:
+            self._restart_followers()
         self._cut_until[self._leader] = self._loop.time() + change.cut_s
         self._loop.call_later(change.lost_after_s, self._cores[self._leader].stop_leading)
         self._loop.call_later(change.lost_after_s + change.vacant_s, self._elect, epoch)
@@ -205,10 +230,13 @@
 
 
 def run_day(
-    seed: int, shape: PoolShape, leader_changes: tuple[LeaderChange, ...] = ONE_CHANGE
+    seed: int,
+    shape: PoolShape,
+    leader_changes: tuple[LeaderChange, ...] = ONE_CHANGE,
+    plan: DemandPlan = DAY,
 ) -> DayOutcome:
     """Run the day of one seed."""
-    day = ServingDay(seed, shape, leader_changes)
+    day = ServingDay(seed, shape, leader_changes, plan)
     try:
         return day.run()
     finally:
--- a/src/zincvale/simulator/serving/nodes.py
+++ b/src/zincvale/simulator/serving/nodes.py
@@ -114,10 +114,8 @@
         self._loop = loop
         self._report_to = report_demand
         self._is_report_scheduled = False
-        routing = RoutingState(zone, self._member)
-        routing.apply_document(document, 0.0)
         self.context = ForwardingContext(
-            routing=routing,
+            routing=RoutingState(zone, self._member),
             chain=chain,
             client=ServerClient(loop.time),
             dialect=NativeDialect(),
@@ -126,6 +124,11 @@
             clock=loop.time,
             on_urgent=self._schedule_report,
         )
+        self.apply_document(document)
+
+    def apply_document(self, document: ForwardingDocument) -> None:
+        """Apply a newer document."""
+        self.context.routing.apply_document(document, self._loop.time())
 
     def start(self, offset_s: float) -> None:
         """Begin to report demand at regular intervals."""
--- a/src/zincvale/simulator/serving/shapes.py
+++ b/src/zincvale/simulator/serving/shapes.py
@@ -28,6 +28,8 @@
 """Weight of the most popular model, compared with the second one."""
 POPULARITY_EXPONENT = 0.48
 """Exponent of the Zipf distribution over the other popular models."""
+REPLACED_MODELS = 60
+"""Number of rare models that a change of the document retires, and of those it declares instead."""
 LONGEST_GAP_S = 0.3
 """Longest pause between two events of a stream that its caller accepts."""
 
@@ -117,8 +119,19 @@
         ]
         return [round(self.adapters * weight / sum(weights)) for weight in weights]
 
-    def document(self) -> ForwardingDocument:
-        """Return the document that declares the pool."""
+    def rare_models(self, replacements: int = 0, more_replacements: int = 0) -> range:
+        """Return the numbers of the rare models that are declared.
+
+        Parameters
+        ----------
+        replacements : how often rare models were replaced by others before.
+        more_replacements : how often they will be replaced later, by models not declared yet.
+        """
+        first = self.models_with_demand_in_turn + replacements * REPLACED_MODELS
+        return range(first, self.models - more_replacements * REPLACED_MODELS)
+
+    def all_models(self) -> dict[str, EngineModel]:
+        """Return the models that are declared at any time."""
         adapter_counts = self.adapter_counts()
         models = {}
         for number, name in enumerate(self.model_names()):
@@ -130,12 +143,20 @@
                 tuple(f"a{adapter}" for adapter in range(count)),
                 ADAPTER_BYTES,
             )
+        return models
+
+    def document(self, version: int, rare_models: range) -> ForwardingDocument:
+        """Return a document that declares the pool with some of the rare models."""
+        models = {
+            name: model
+            for number, (name, model) in enumerate(self.all_models().items())
+            if number < self.models_with_demand_in_turn or number in rare_models
+        }
         engine = Engine(
             self.slots, 100_000, self.memory_bytes, self.adapter_slots, self.loads_per_s, models
         )
-        return ForwardingDocument(
-            version=1, number=1, pools={POOL: ForwardPool(POOL, engine=engine)}
-        )
+        pools = {POOL: ForwardPool(POOL, engine=engine)}
+        return ForwardingDocument(version=version, number=version, pools=pools)
 
 
 def popularity_weight(rank: int) -> float:
--- a/tests/simulator/serving/test_serving_days.py
+++ b/tests/simulator/serving/test_serving_days.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from zincvale.simulator.serving.arrivals import DemandPlan
+from zincvale.simulator.serving.arrivals import DAY_WITH_REPLACEMENTS, DemandPlan
 from zincvale.simulator.serving.day import ServingDay, changes_of_day, run_day
 from zincvale.simulator.serving.outcome import DayOutcome
 from zincvale.simulator.serving.shapes import LARGE_POOL, MEDIUM_POOL
@@ -32,6 +32,10 @@
     def test_a_day_with_two_changes_of_leader(self):
         self.assert_served(run_day(3, MEDIUM_POOL, changes_of_day(2)))
 
+    def test_a_day_on_which_models_are_retired_before_cores_restart_and_the_leader_changes(self):
+        changes = changes_of_day(1, restarts_cores=True)
+        self.assert_served(run_day(1, LARGE_POOL, changes, DAY_WITH_REPLACEMENTS))
+
 
 class RepeatabilityTest(testtools.TestCase):
     def test_equal_seeds_give_equal_days(self):
