Placement: what is requested again and again and not served has its turn after a round, whatever else is worth more

What callers may see without it: a model or adapter that is asked for less often than what fills the servers is refused for ever, and adapters whose models keep each other from leaving are never loaded. Cause: loads are planned by worth, and nothing bounded how often an item is passed over. The count of unserved requests decays within seconds, and the weight of waiting requests starts anew when they are refused. A model counts as waited for while an adapter of it lacks room, so it may not leave; on a full server two such models block each other. An item is due when it was requested at least twice, and lately, for a round without service; a round is the time in which the pool's servers could load each unserved item of its kind once. What is due is planned and ordered first, the longest unserved before the others, and is not compared with what leaves; if it found no server, copies in use or waited for may leave too. The copy of a turn stays for two mean intervals between requests, at most a round.

--- a/src/zincvale/controlplane/placement/apply_demand.py
+++ b/src/zincvale/controlplane/placement/apply_demand.py
@@ -66,10 +66,10 @@
 def _count_unserved(placement: PlacementState, item: ItemRow, requests: int, now: float) -> None:
     if item.ready:
         item.unserved.clear()
-        placement.unserved.pop(item.key, None)
+        placement.unserved.remove(item.key)
         return
     item.unserved.record(requests, now)
-    placement.unserved[item.key] = None
+    placement.unserved.add(item.key)
 
 
 def _count_running(
--- a/src/zincvale/controlplane/placement/apply_intent.py
+++ b/src/zincvale/controlplane/placement/apply_intent.py
@@ -199,7 +199,7 @@
         placement.adapters_by_base[item.base].pop(key, None)
     placement.reviews.remove(key)
     placement.unplaced.remove(key)
-    placement.unserved.pop(key, None)
+    placement.unserved.remove(key)
     remove_item_demand(placement, key)
     placement.disk_copies.remove(key)
     for server_id in item.holders:
--- a/src/zincvale/controlplane/placement/desired_replicas.py
+++ b/src/zincvale/controlplane/placement/desired_replicas.py
@@ -4,6 +4,7 @@
 
 import math
 
+from zincvale.controlplane.placement.fairness import is_due
 from zincvale.controlplane.placement.items import ItemKind, ItemRow
 from zincvale.controlplane.placement.moves import URGENCY_BY_REASON, MoveReason
 from zincvale.controlplane.placement.replica_value import has_unmet_demand, item_value, unmet_demand
@@ -191,11 +192,13 @@
     is_queued = item.shortage_stamp != 0 and item.shortage_urgency == urgency
     if is_queued and reason is not MoveReason.WAITING_REQUESTS:
         return
-    rank = -item_value(placement, item, now)
-    if reason is MoveReason.WAITING_REQUESTS:
-        # Weighted shortest job first, which minimizes the total waiting time.
-        rank = -unmet_demand(placement, item, now) / max(item.weight_bytes, 1)
-    placement.shortages.add(item, urgency, rank)
+    if reason is not MoveReason.WAITING_REQUESTS:
+        placement.shortages.add(item, urgency, -item_value(placement, item, now))
+        return
+    # Weighted shortest job first, which minimizes the total waiting time.
+    rank = -unmet_demand(placement, item, now) / max(item.weight_bytes, 1)
+    due_since = item.unserved.since if is_due(placement, item, now) else math.inf
+    placement.shortages.add(item, urgency, rank, due_since)
 
 
 def _shortage_reason(
--- a/src/zincvale/controlplane/placement/dispatch.py
+++ b/src/zincvale/controlplane/placement/dispatch.py
@@ -6,10 +6,13 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from zincvale.controlplane.placement import log_events
 from zincvale.controlplane.placement.events import Order, OrderAction, OrderRecorded, SendOrder
+from zincvale.controlplane.placement.fairness import is_due
 from zincvale.controlplane.placement.items import ItemKind, ItemRow
 from zincvale.controlplane.placement.move_completion import end_move, move_item_key
 from zincvale.controlplane.placement.moves import Move, MoveKind, MoveReason, MoveState
@@ -91,13 +94,15 @@
     if item is None or item.waiting == 0 or item.ready > 0:
         return ""
     replacement = placement.items.get(move_item_key(load))
+    if replacement is not None and replacement.unserved.is_in_turn:
+        return ""
     if replacement is None or replacement.waiting < item.waiting:
         return "more requests wait for it than for what would replace it"
     return ""
 
 
 def order_loads(placement: PlacementState, now: float) -> None:
-    """System: order planned loads, those with unmet demand first, then by urgency and size."""
+    """System: order planned loads; due items first, then unmet demand, then urgency and size."""
     planned = [
         move
         for move in placement.calendar.moves.values()
@@ -115,9 +120,12 @@
 def _sort_key(placement: PlacementState, move: Move, now: float) -> tuple[float, ...]:
     item = placement.items.get(move_item_key(move))
     size = move.reservation.memory_bytes
+    if item is not None and is_due(placement, item, now):
+        return (0.0, item.unserved.since, 0.0, move.created_at)
     if item is not None and has_unmet_demand(placement, item, now):
-        return (0.0, -unmet_demand(placement, item, now) / max(size, 1), move.created_at)
-    return (float(move.urgency), float(size), move.created_at)
+        unmet = unmet_demand(placement, item, now)
+        return (0.0, math.inf, -unmet / max(size, 1), move.created_at)
+    return (float(move.urgency), math.inf, float(size), move.created_at)
 
 
 def _order_or_cancel_load(
--- a/src/zincvale/controlplane/placement/eviction.py
+++ b/src/zincvale/controlplane/placement/eviction.py
@@ -13,7 +13,11 @@
 from zincvale.controlplane.placement.items import ItemKey, ItemKind, ItemRow, is_adapter_key
 from zincvale.controlplane.placement.servers import ServerState
 from zincvale.controlplane.placement.state import PlacementState
-from zincvale.controlplane.placement.victim_groups import VictimGroup, victim_groups
+from zincvale.controlplane.placement.victim_groups import (
+    EvictableReplicas,
+    VictimGroup,
+    victim_groups,
+)
 
 
 @attrs.frozen
@@ -35,12 +39,12 @@
     Attributes
     ----------
     needed_bytes : the size of the item and of the adapters that should fit beside it.
-    may_drain : an only replica on which requests run may be evicted too.
+    may_evict : which only replicas may be evicted.
     """
 
     item: ItemRow
     needed_bytes: int
-    may_drain: bool = False
+    may_evict: EvictableReplicas = EvictableReplicas.IDLE
 
     def fits(self, placement: PlacementState, server: ServerState) -> bool:
         """Whether the server has the room without an eviction."""
@@ -63,7 +67,7 @@
     deficit = _Deficit(space.missing_bytes(placement, server), space.missing_adapter_slots(server))
     if deficit.is_met(server, []):
         return NO_EVICTION
-    groups = victim_groups(placement, server, space.item.base, now, may_drain=space.may_drain)
+    groups = victim_groups(placement, server, space.item.base, space.may_evict, now)
     if deficit.missing_bytes <= 0:
         groups = [
             group for group in groups if len(group.keys) == 1 and is_adapter_key(group.keys[0])
--- a/src/zincvale/controlplane/placement/load_candidates.py
+++ b/src/zincvale/controlplane/placement/load_candidates.py
@@ -9,6 +9,7 @@
     choose_server,
 )
 from zincvale.controlplane.placement.eviction import RequiredSpace
+from zincvale.controlplane.placement.fairness import is_due
 from zincvale.controlplane.placement.items import ItemKind, ItemRow
 from zincvale.controlplane.placement.moves import MoveReason
 from zincvale.controlplane.placement.replica_value import (
@@ -19,6 +20,8 @@
     unmet_demand,
 )
 from zincvale.controlplane.placement.state import PlacementState
+from zincvale.controlplane.placement.unserved import PlanResult
+from zincvale.controlplane.placement.victim_groups import EvictableReplicas
 
 DRAIN_DELAY_S = 2.0
 """Waiting time of requests after which a load for them may drain an item's only replica in use."""
@@ -37,20 +40,30 @@
 
     Raises `AllServersBusyError` if some servers could take the load, but none of them soon.
     """
-    may_drain = item.waiting > 0 and now - item.waiting_since > DRAIN_DELAY_S
-    preferred = _soonest_choice(placement, RequiredSpace(item, item.weight_bytes, may_drain), now)
+    may_evict = _may_evict(placement, item, now)
+    preferred = _soonest_choice(placement, RequiredSpace(item, item.weight_bytes, may_evict), now)
     if preferred is not None and is_worth_loading(placement, item, reason, preferred, now):
         return preferred
     spread_first = reason is MoveReason.MIN_REPLICAS
     adapter_bytes = _adapter_reserve_bytes(placement, item)
     for extra in (adapter_bytes, 0) if adapter_bytes else (0,):
-        space = RequiredSpace(item, item.weight_bytes + extra, may_drain)
+        space = RequiredSpace(item, item.weight_bytes + extra, may_evict)
         choice = choose_server(placement, space, now, spread_first=spread_first)
         if choice is not None:
             return choice
     return None
 
 
+def _may_evict(placement: PlacementState, item: ItemRow, now: float) -> EvictableReplicas:
+    """Return which only replicas may leave for the item."""
+    found_no_server = item.unserved.result is PlanResult.NO_SERVER
+    if found_no_server and is_due(placement, item, now):
+        return EvictableReplicas.REQUESTED
+    if item.waiting and now - item.waiting_since > DRAIN_DELAY_S:
+        return EvictableReplicas.IN_USE
+    return EvictableReplicas.IDLE
+
+
 def _soonest_choice(placement: PlacementState, space: RequiredSpace, now: float) -> Choice | None:
     """Return the best server on which the load would end sooner than elsewhere, or None.
 
@@ -81,15 +94,17 @@
 
     The comparison depends on the reason of the load. If requests wait, the requests expected to
     wait after the eviction must not exceed those that wait now plus those expected to wait without
-    the load. Before a daily change, the item's predicted value must exceed `predicted_swap_gain`
-    times the greatest predicted value among the victims, and no victim may be expected to be
-    requested before the change. Otherwise the item's value must exceed `swap_gain` times the cost
-    of the eviction. Loads for declared minimum replicas, and loads that evict nothing, are always
-    worth it.
+    the load; an item that is due need not be compared. Before a daily change, the item's predicted
+    value must exceed `predicted_swap_gain` times the greatest predicted value among the victims,
+    and no victim may be expected to be requested before the change. Otherwise the item's value must
+    exceed `swap_gain` times the cost of the eviction. Loads for declared minimum replicas, and
+    loads that evict nothing, are always worth it.
     """
     if not choice.eviction.keys or reason is MoveReason.MIN_REPLICAS:
         return True
     if reason is MoveReason.WAITING_REQUESTS:
+        if is_due(placement, item, now):
+            return True
         cost = _waits_from_eviction(placement, choice, now)
         return cost <= unmet_demand(placement, item, now) + eviction_cost(placement, item, now)
     if reason is MoveReason.DAILY_CHANGE:
--- a/src/zincvale/controlplane/placement/move_completion.py
+++ b/src/zincvale/controlplane/placement/move_completion.py
@@ -6,6 +6,7 @@
 
 from zincvale.controlplane.placement import log_events
 from zincvale.controlplane.placement.events import CompletionRecorded
+from zincvale.controlplane.placement.fairness import keep_for_turn
 from zincvale.controlplane.placement.items import ItemKey, ItemKind, ItemRow, adapter_key, model_key
 from zincvale.controlplane.placement.load_moves import LoadPlan, new_load
 from zincvale.controlplane.placement.moves import (
@@ -139,6 +140,7 @@
         return
     item.failures = 0
     item.unserved.recent.count = 0.0
+    keep_for_turn(placement, item, now)
     if move.reason is not MoveReason.FOUND_IN_PROGRESS:
         _record_load_time(placement, server, move, item, now)
     placement.queue_review(item.key)
--- a/src/zincvale/controlplane/placement/plan_loads.py
+++ b/src/zincvale/controlplane/placement/plan_loads.py
@@ -10,6 +10,7 @@
 from zincvale.controlplane.placement import log_events
 from zincvale.controlplane.placement.choose_server import AllServersBusyError, Choice
 from zincvale.controlplane.placement.config import PlacementConfig
+from zincvale.controlplane.placement.fairness import is_due
 from zincvale.controlplane.placement.items import ItemKey, ItemKind, ItemRow, is_adapter_key
 from zincvale.controlplane.placement.load_candidates import find_candidate, is_worth_loading
 from zincvale.controlplane.placement.load_moves import LoadPlan, new_load
@@ -173,6 +174,7 @@
         limit = f"what would leave {choice.server.server} is worth more"
         _set_aside(placement, item, reason, limit, now)
         return PlanResult.NOT_WORTH
+    item.unserved.is_in_turn = is_due(placement, item, now)
     add_load_moves(placement, item, reason, choice, now)
     if item.kind is ItemKind.MODEL:
         placement.queue_adapters(item)
--- a/src/zincvale/controlplane/placement/report_unserved.py
+++ b/src/zincvale/controlplane/placement/report_unserved.py
@@ -4,6 +4,7 @@
 
 from zincvale.controlplane.placement import log_events
 from zincvale.controlplane.placement.demand import MIN_RECENT_REQUESTS
+from zincvale.controlplane.placement.fairness import MIN_REQUESTS, ROUNDS_UNTIL_SERVED, round_s
 from zincvale.controlplane.placement.items import ItemRow
 from zincvale.controlplane.placement.move_completion import move_item_key
 from zincvale.controlplane.placement.moves import Move, MoveKind
@@ -19,8 +20,6 @@
 """Number of load times in which an item is expected to be served."""
 UNSERVED_LOG_INTERVAL_S = 10.0
 """Minimum interval between two log lines about the same item."""
-MIN_REQUESTS = 2
-"""An item that was requested once is not logged: nobody asked for it again."""
 MAX_LINES_PER_REPORT = 16
 """Limit on the log lines of one check; the items unserved for longest come first."""
 
@@ -55,11 +54,11 @@
 
 def _forget_old_demand(placement: PlacementState, now: float) -> None:
     """Forget items that nobody has requested for so long that the slow average forgets them too."""
-    for key in list(placement.unserved):
+    for key in placement.unserved:
         item = placement.items[key]
         if not item.waiting and item.demand.slow.current(now) < MIN_RECENT_REQUESTS:
             item.unserved.clear()
-            del placement.unserved[key]
+            placement.unserved.remove(key)
 
 
 def _log_item(placement: PlacementState, item: ItemRow, now: float) -> None:
@@ -68,6 +67,7 @@
         name=item.name,
         kind=item.kind.value,
         requests=item.unserved.requests,
+        bound_s=round(ROUNDS_UNTIL_SERVED * round_s(placement, item, now), 1),
         unserved_s=round(now - item.unserved.since, 1),
         waiting=item.waiting,
         decision=explain(placement, item, now),
--- a/src/zincvale/controlplane/placement/shortages.py
+++ b/src/zincvale/controlplane/placement/shortages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -23,12 +24,14 @@
     Attributes
     ----------
     urgency : index of the reason in `MoveReason`, 0 the most urgent.
+    due_since : since when an item that is due has been unserved, infinity for all others.
     rank : order among equally urgent entries, lowest first.
     stamp : number of the entry; the entry is outdated unless it is `ItemRow.shortage_stamp`.
     key : the item that lacks a replica.
     """
 
     urgency: int
+    due_since: float
     rank: float
     stamp: int
     key: ItemKey
@@ -43,7 +46,7 @@
     """The stores in the order of the newest run."""
     _next_stamp: int = 1
 
-    def add(self, item: ItemRow, urgency: int, rank: float) -> None:
+    def add(self, item: ItemRow, urgency: int, rank: float, due_since: float = math.inf) -> None:
         """Queue an item; its earlier entry becomes outdated."""
         stamp = self._next_stamp
         self._next_stamp += 1
@@ -53,7 +56,7 @@
         if queue is None:
             queue = self.by_store[item.store] = []
             self._turns.append(item.store)
-        heapq.heappush(queue, Shortage(urgency, rank, stamp, item.key))
+        heapq.heappush(queue, Shortage(urgency, due_since, rank, stamp, item.key))
 
     def stores_in_turn(self) -> list[StoreName]:
         """Return the stores with a queue; each call begins with the next one."""
--- a/src/zincvale/controlplane/placement/state.py
+++ b/src/zincvale/controlplane/placement/state.py
@@ -29,6 +29,7 @@
 from zincvale.controlplane.placement.stores import StoreState
 from zincvale.controlplane.placement.undeclared import UndeclaredReplicas
 from zincvale.controlplane.placement.unplaced import UnplacedItems
+from zincvale.controlplane.placement.unserved_items import UnservedItems
 from zincvale.model.control_tables import Intent
 from zincvale.model.identifiers import (
     MemberId,
@@ -117,7 +118,7 @@
     server_index: ServerIndex = attrs.field(factory=ServerIndex)
     nodes: dict[MemberId, NodeDemand] = attrs.field(factory=dict)
     running: dict[tuple[ServerId, ItemKey], int] = attrs.field(factory=dict)
-    unserved: dict[ItemKey, None] = attrs.field(factory=dict)
+    unserved: UnservedItems = attrs.field(factory=UnservedItems)
     unserved_reported_at: float = 0.0
     nodes_checked_at: float = 0.0
     oldest_node_report: float = 0.0
--- a/src/zincvale/controlplane/placement/unserved.py
+++ b/src/zincvale/controlplane/placement/unserved.py
@@ -38,6 +38,8 @@
     since : arrival of the first of them; meaningless while `requests` is 0.
     attempted_at, result : the newest attempt to plan a load of the item, and its result.
     logged_at : when it was last logged that the item is not served.
+    is_in_turn : a load was planned because the item was due; see `fairness`.
+    keep_until : the item's only replica is not evicted before this time, unless it has served.
     """
 
     recent: DecayedCount = attrs.field(factory=lambda: DecayedCount(UNSERVED_HALF_LIFE_S))
@@ -46,6 +48,8 @@
     attempted_at: float = NEVER
     result: PlanResult | None = None
     logged_at: float = NEVER
+    is_in_turn: bool = False
+    keep_until: float = NEVER
 
     def record(self, requests: int, now: float) -> None:
         """Count requests that found no ready replica."""
@@ -58,6 +62,8 @@
         """Forget the requests: the item was served, or is not requested any more."""
         self.requests = 0
         self.logged_at = NEVER
+        self.is_in_turn = False
+        self.keep_until = NEVER
 
     def record_attempt(self, result: PlanResult, now: float) -> None:
         """Record an attempt to plan a load of the item."""
--- a/src/zincvale/controlplane/placement/victim_groups.py
+++ b/src/zincvale/controlplane/placement/victim_groups.py
@@ -1,15 +1,18 @@
 """The replicas that may be evicted from a server, in groups that are evicted together.
 
-An item's only replica is not chosen while requests run on it, unless the load's own requests have
-waited for long. It then drains and is unloaded when its requests have ended. If an item has several
-replicas, one in use may be chosen, since the others can serve its requests. A replica that no
-resource declares costs nothing, whether its size is known or not.
+`EvictableReplicas` tells which only replicas of an item may be chosen. One in use drains and is
+unloaded when its requests have ended. If an item has several replicas, one in use may be chosen,
+since the others can serve its requests. A replica that no resource declares costs nothing, whether
+its size is known or not.
 """
 
 from __future__ import annotations
 
+import enum
+
 import attrs
 
+from zincvale.controlplane.placement.fairness import is_kept_for_turn
 from zincvale.controlplane.placement.items import ItemKey, ItemRow, is_adapter_key
 from zincvale.controlplane.placement.replica_value import replica_value
 from zincvale.controlplane.placement.servers import Replica, ReplicaState, ServerState
@@ -21,6 +24,17 @@
 With a lower factor, replicas in use are drained although idle ones could be evicted."""
 
 
+class EvictableReplicas(enum.Enum):
+    """Which only replicas of an item may be evicted; each value includes those before it."""
+
+    IDLE = "idle"
+    """Those on which no requests run, and for whose item none wait."""
+    IN_USE = "in-use"
+    """Also those on which requests run."""
+    REQUESTED = "requested"
+    """Also those for whose item requests wait, for example for an adapter that lacks room."""
+
+
 @attrs.frozen
 class VictimGroup:
     """Replicas that are evicted together: an adapter alone, or a model with its adapters.
@@ -41,18 +55,16 @@
     placement: PlacementState,
     server: ServerState,
     needed_base: ItemKey | None,
+    may_evict: EvictableReplicas,
     now: float,
-    *,
-    may_drain: bool,
 ) -> list[VictimGroup]:
     """Return the groups of replicas that may be evicted from a server.
 
     Parameters
     ----------
     needed_base : the base model of the item to load, which must stay; None if it has none.
-    may_drain : an only replica on which requests run may be evicted too.
     """
-    declared = _declared_groups(placement, server, needed_base, now, may_drain=may_drain)
+    declared = _declared_groups(placement, server, needed_base, may_evict, now)
     return [*_undeclared_groups(placement, server, now), *declared]
 
 
@@ -60,9 +72,8 @@
     placement: PlacementState,
     server: ServerState,
     needed_base: ItemKey | None,
+    may_evict: EvictableReplicas,
     now: float,
-    *,
-    may_drain: bool,
 ) -> list[VictimGroup]:
     adapters_by_model: dict[ItemKey, list[ItemKey]] = {}
     models: list[ItemKey] = []
@@ -78,11 +89,9 @@
     for model in models:
         if model != needed_base:
             keys = (*adapters_by_model.get(model, ()), model)
-            groups.append(_victim_group(placement, server, keys, now, may_drain=may_drain))
+            groups.append(_victim_group(placement, server, keys, may_evict, now))
     for adapters in adapters_by_model.values():
-        groups.extend(
-            _victim_group(placement, server, (key,), now, may_drain=may_drain) for key in adapters
-        )
+        groups.extend(_victim_group(placement, server, (key,), may_evict, now) for key in adapters)
     return [group for group in groups if group is not None]
 
 
@@ -120,20 +129,19 @@
     placement: PlacementState,
     server: ServerState,
     keys: tuple[ItemKey, ...],
+    may_evict: EvictableReplicas,
     now: float,
-    *,
-    may_drain: bool,
 ) -> VictimGroup | None:
     cost = 0.0
     item_bytes = 0
     for key in keys:
         item = placement.items[key]
         replica = server.replicas[key]
-        if not _is_evictable(placement, item, replica, now):
+        if not _is_evictable(placement, item, replica, may_evict, now):
             return None
         item_cost = replica_value(placement, item, now)
         if _is_only_replica_in_use(placement, server, item):
-            if not may_drain:
+            if may_evict is EvictableReplicas.IDLE:
                 return None
             item_cost *= DRAIN_COST_FACTOR
         cost = max(cost, item_cost)
@@ -141,18 +149,27 @@
     return VictimGroup(keys, item_bytes, cost)
 
 
-def _is_evictable(placement: PlacementState, item: ItemRow, replica: Replica, now: float) -> bool:
+def _is_evictable(
+    placement: PlacementState,
+    item: ItemRow,
+    replica: Replica,
+    may_evict: EvictableReplicas,
+    now: float,
+) -> bool:
     """Whether a replica may be evicted.
 
-    It may not be while it is loading or unloading, within the minimum residency time, if the item
-    would have less than its minimum replicas, or if requests wait for the item's only replica.
+    It may not be while it is loading or unloading, within the minimum residency time, before it has
+    served in the item's turn, if the item would have less than its minimum replicas, or if requests
+    wait for the item's only replica.
     """
     if replica.state is not ReplicaState.LOADED or replica.draining or replica.move_id is not None:
         return False
-    if now - replica.since < placement.config.min_residency_s:
+    if now - replica.since < placement.config.min_residency_s or is_kept_for_turn(item, now):
         return False
     others = item.ready - 1
-    return others >= item.min_replicas and (others >= 1 or item.waiting == 0)
+    if others < item.min_replicas:
+        return False
+    return others >= 1 or item.waiting == 0 or may_evict is EvictableReplicas.REQUESTED
 
 
 def _is_only_replica_in_use(placement: PlacementState, server: ServerState, item: ItemRow) -> bool:
--- a/tests/controlplane/placement/test_unserved_items.py
+++ b/tests/controlplane/placement/test_unserved_items.py
@@ -60,7 +60,7 @@
             driver.demand(("chat", None, 1, 0))
             driver.tick(1.0)
         self.assertEqual([], unserved_lines(driver))
-        self.assertEqual({}, driver.controller.state.unserved)
+        self.assertEqual([], list(driver.controller.state.unserved))
 
     def test_an_item_that_was_requested_once_is_not_logged(self):
         driver = self.make_driver({"large": 80})
@@ -75,7 +75,7 @@
         self.assertIn(model_key("large"), driver.controller.state.unserved)
         driver.now += 3 * CONFIG.slow_half_life_s
         driver.tick(2.0)
-        self.assertEqual({}, driver.controller.state.unserved)
+        self.assertEqual([], list(driver.controller.state.unserved))
         self.assertEqual(0, driver.controller.state.items[model_key("large")].unserved.requests)
 
     def test_an_adapter_without_its_model_is_logged_as_such(self):
