--- a/src/zincvale/controlplane/placement/__init__.py
+++ b/src/zincvale/controlplane/placement/__init__.py
@@ -24,11 +24,12 @@
 - Rows: `items`, `servers`, `stores`, `moves`, `config`; measurements: `demand`, `unserved`,
   `load_times`, `disk_copies`.
 - State: `state` has all tables; its indexes and queues are `calendar`, `reviews`, `shortages`,
-  `unplaced`, `undeclared`, `free_memory`, `server_index`, `drain_table`, `prefetch_state`.
-- Inputs: `apply_intent`, `apply_status`, `apply_demand`, `order_responses`, `leadership`;
-  `order_confirmation` has the rules for orders whose outcome is not known.
-- Decisions: `replica_value`, `desired_replicas`, `load_candidates`, `choose_server`, `eviction`,
-  `victim_groups`, `load_moves`, `plan_loads`, `plan_unloads`, `prefetch`,
+  `unplaced`, `unserved_items`, `undeclared`, `free_memory`, `server_index`, `drain_table`,
+  `prefetch_state`.
+- Inputs: `apply_intent`, `apply_status`, `reported_replicas`, `apply_demand`, `order_responses`,
+  `leadership`; `order_confirmation` has the rules for orders whose outcome is not known.
+- Decisions: `replica_value`, `fairness`, `desired_replicas`, `load_candidates`, `choose_server`,
+  `eviction`, `victim_groups`, `load_moves`, `plan_loads`, `plan_unloads`, `prefetch`,
   `order_obstacles`, `dispatch`, `drains`, `move_completion`.
 - Output: `events`, `report_unserved`, `publication`, `move_row_codec`, `draining_row_codec`,
   `log_events`.
--- a/tests/controlplane/placement/test_mutations.py
+++ b/tests/controlplane/placement/test_mutations.py
@@ -39,7 +39,7 @@
 
 MUTATIONS: dict[str, dict[str, object]] = {
     "an order with an unknown outcome is released at the first status": {
-        f"{PLACEMENT}.apply_status.handle_missing_effect": release_on_first_status,
+        f"{PLACEMENT}.reported_replicas.handle_missing_effect": release_on_first_status,
     },
     "a new leader confirms servers by their first status and does not wait": {
         f"{PLACEMENT}.apply_status.confirm_no_stale_orders": confirm_on_first_status,
