Names: expected_waits for what an eviction costs in requests, ChosenChange for a change that waits for its roll-out

Change: both renamed; the API's PendingChange keeps its name. Nothing that leaves the process changes.

--- a/src/zincvale/controlplane/placement/eviction.py
+++ b/src/zincvale/controlplane/placement/eviction.py
@@ -3,7 +3,7 @@
 `victim_groups` tells which replicas may be evicted, and together with which others. Whether the
 load is worth the eviction is decided afterwards by `load_candidates.is_worth_loading`. Costs here
 are based on `replica_value.replica_value`. For loads that requests wait for, `is_worth_loading`
-uses another measure, `replica_value.eviction_cost`.
+uses another measure, `replica_value.expected_waits`.
 """
 
 from __future__ import annotations
--- a/src/zincvale/controlplane/placement/load_candidates.py
+++ b/src/zincvale/controlplane/placement/load_candidates.py
@@ -13,8 +13,8 @@
 from zincvale.controlplane.placement.items import ItemKind, ItemRow
 from zincvale.controlplane.placement.moves import MoveReason
 from zincvale.controlplane.placement.replica_value import (
-    eviction_cost,
     expected_rate,
+    expected_waits,
     item_value,
     predicted_value,
     unmet_demand,
@@ -106,7 +106,7 @@
         if is_due(placement, item, now):
             return True
         cost = _waits_from_eviction(placement, choice, now)
-        return cost <= unmet_demand(placement, item, now) + eviction_cost(placement, item, now)
+        return cost <= unmet_demand(placement, item, now) + expected_waits(placement, item, now)
     if reason is MoveReason.DAILY_CHANGE:
         victims = [placement.items[key] for key in choice.eviction.keys if key in placement.items]
         if any(_needed_until_change(placement, victim, now) for victim in victims):
@@ -136,7 +136,7 @@
             continue
         if victim.base in choice.eviction.keys:
             continue
-        total += eviction_cost(placement, victim, now)
+        total += expected_waits(placement, victim, now)
         if placement.running_on(choice.server, key):
             total += expected_rate(placement, victim, now) * EXPECTED_DRAIN_S
     return total
--- a/src/zincvale/controlplane/placement/replica_value.py
+++ b/src/zincvale/controlplane/placement/replica_value.py
@@ -1,6 +1,6 @@
 """Value of a replica: the requests per second that would otherwise wait for a load.
 
-`item_value`, `predicted_value` and `replica_value` are rates. `unmet_demand` and `eviction_cost`
+`item_value`, `predicted_value` and `replica_value` are rates. `unmet_demand` and `expected_waits`
 are request counts and are compared only with each other. `load_candidates.is_worth_loading` decides
 which pair applies.
 """
@@ -118,14 +118,14 @@
     return value
 
 
-def eviction_cost(placement: PlacementState, item: ItemRow, now: float) -> float:
+def expected_waits(placement: PlacementState, item: ItemRow, now: float) -> float:
     """Return the weighted number of requests expected to wait if a replica is evicted.
 
     It is the cost of an eviction for a load that requests wait for.
     """
     rate = expected_rate(placement, item, now)
     requested_again = 1.0 - math.exp(-rate * placement.config.urgent_horizon_s)
-    cost = requested_again * (1.0 + rate * placement.expected_reload_s(item))
+    waits = requested_again * (1.0 + rate * placement.expected_reload_s(item))
     if item.ready > 1:
-        cost *= SURPLUS_WEIGHT
-    return cost * WEIGHT_BY_STAKE[item.stake]
+        waits *= SURPLUS_WEIGHT
+    return waits * WEIGHT_BY_STAKE[item.stake]
--- a/src/zincvale/coordination/core/tick.py
+++ b/src/zincvale/coordination/core/tick.py
@@ -10,7 +10,7 @@
 
 from zincvale.coordination import log_events
 from zincvale.coordination.core.components import ROLE_PROPOSAL_PREFIX, CoreComponents
-from zincvale.coordination.delivery.rollout import PendingChange
+from zincvale.coordination.delivery.rollout import ChosenChange
 from zincvale.coordination.registers.change_messages import IN_FORCE, ChangeResult
 from zincvale.coordination.registers.messages import Chosen
 from zincvale.coordination.registers.owner import NewlyChosen, OwnerPhase, RegisterOwner
@@ -106,7 +106,7 @@
     for proposal in chosen.accepted:
         if key in DELIVERED_KEYS:
             components.member_leases.applied_versions.trackers[key].add_pending(
-                PendingChange(proposal.token, proposal.version)
+                ChosenChange(proposal.token, proposal.version)
             )
             continue
         result = ChangeResult(IN_FORCE, proposal.version, position.version)
--- a/src/zincvale/coordination/delivery/applied_versions.py
+++ b/src/zincvale/coordination/delivery/applied_versions.py
@@ -4,7 +4,7 @@
 
 from zincvale.coordination.core.context import CoreContext
 from zincvale.coordination.core.messages import AppliedVersionsReport
-from zincvale.coordination.delivery.rollout import PendingChange, QuorumRules, RolloutTracker
+from zincvale.coordination.delivery.rollout import ChosenChange, QuorumRules, RolloutTracker
 from zincvale.coordination.leases.lease_grantor import LeaseGrantor
 from zincvale.coordination.membership import registry
 from zincvale.coordination.replication.replica_sets import DELIVERED_KEYS, REGISTRY_KEY
@@ -38,7 +38,7 @@
         if tracker is not None:
             tracker.record_report(sender, report)
 
-    def take_rolled_out_changes(self, key: str) -> list[PendingChange]:
+    def take_rolled_out_changes(self, key: str) -> list[ChosenChange]:
         """Remove and return the pending changes of `key` whose versions are rolled out."""
         tracker = self.trackers[key]
         if not tracker.needs_update:
--- a/src/zincvale/coordination/delivery/rollout.py
+++ b/src/zincvale/coordination/delivery/rollout.py
@@ -24,7 +24,7 @@
 
 
 @attrs.frozen
-class PendingChange:
+class ChosenChange:
     """A chosen change; the call `token` gets its response when `version` is rolled out.
 
     `controlplane.api.intent_changes.PendingChange` is the same change at the operators' API.
@@ -67,7 +67,7 @@
         self._registry_key = registry_key
         self._strict = strict
         self._reports: dict[MemberId, AppliedVersionsReport] = {}
-        self.pending: list[PendingChange] = []
+        self.pending: list[ChosenChange] = []
         self.rolled_out_version = 0
         self.needs_update = False
         """Whether reports or pending changes were added since the last `update`, or the rules may
@@ -78,12 +78,12 @@
         self._reports[sender] = report
         self.needs_update = True
 
-    def add_pending(self, change: PendingChange) -> None:
+    def add_pending(self, change: ChosenChange) -> None:
         """Add a change that waits until its version is rolled out."""
         self.pending.append(change)
         self.needs_update = True
 
-    def update(self, rules: QuorumRules) -> list[PendingChange]:
+    def update(self, rules: QuorumRules) -> list[ChosenChange]:
         """Update the rolled-out version; remove and return the pending changes it covers."""
         self.needs_update = False
         for version in sorted({report.version for report in self._reports.values()}, reverse=True):
