--- a/tests/soak/evacuations.py
+++ b/tests/soak/evacuations.py
@@ -10,13 +10,13 @@
 import random
 from collections.abc import Callable, Sequence
 
+from tests.soak.core_caller import CoreCaller, backoffs_s
 from tests.soak.history import EvacuationRecord, History
 from tests.soak.http_calls import CutError, KeptConnection, NotSentError
 from tests.soak.layout import ZONES, MachineSpec, control_address
 from tests.soak.settings_file import EVACUATION_S, OUTER_S
 
 CALL_TIMEOUT_S = 1.0
-BACKOFF_S, MAX_BACKOFF_S = 0.05, 0.5
 GIVE_UP_S = 25.0
 REST_S = (EVACUATION_S + 2.0, EVACUATION_S + OUTER_S + 2.0)
 """How long a zone stays evacuated: long enough to judge what reaches it."""
@@ -31,14 +31,8 @@
 POLL_S = 0.02
 
 
-class EvacuationOperator:
-    """Evacuates one zone after another.
-
-    Parameters
-    ----------
-    cores : returns the machines of the operators' list.
-    clock : seconds on the monotonic clock.
-    """
+class EvacuationOperator(CoreCaller):
+    """Evacuates one zone after another."""
 
     def __init__(
         self,
@@ -47,10 +41,7 @@
         random_source: random.Random,
         clock: Callable[[], float],
     ) -> None:
-        self._cores = cores
-        self._history = history
-        self._random = random_source
-        self._clock = clock
+        super().__init__(cores, history, random_source, clock)
         self._connections: dict[str, KeptConnection] = {}
         self._left_open: list[KeptConnection] = []
 
@@ -76,7 +67,7 @@
         self._history.evacuations.append(record)
         give_up_at = self._clock() + GIVE_UP_S
         core = self._first_core()
-        backoff_s = BACKOFF_S
+        pauses = backoffs_s()
         while self._clock() < give_up_at:
             status = await self._attempt(core, record)
             if 200 <= status < 300:
@@ -85,9 +76,8 @@
                 return record
             if 400 <= status < 500:
                 record.refused_with.append(status)
-            core = self._other_core(core)
-            await asyncio.sleep(backoff_s)
-            backoff_s = min(MAX_BACKOFF_S, backoff_s * 1.6)
+            core = self._choose_core(core.name)
+            await asyncio.sleep(next(pauses))
         return record
 
     def close(self) -> None:
@@ -130,14 +120,9 @@
         return status
 
     def _first_core(self) -> MachineSpec:
-        cores = list(self._cores())
         if self._random.random() < DISTURBED_CORE_SHARE:
-            return max(cores, key=self._last_disturbance)
-        return self._random.choice(cores)
-
-    def _other_core(self, core: MachineSpec) -> MachineSpec:
-        cores = list(self._cores())
-        return self._random.choice([each for each in cores if each.name != core.name] or cores)
+            return max(self._cores(), key=self._last_disturbance)
+        return self._choose_core()
 
     def _last_disturbance(self, core: MachineSpec) -> float:
         return max(self._history.machine(core.name).disturbances, default=0.0)
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -13,6 +13,7 @@
 import attrs
 import orjson
 
+from tests.soak.core_caller import CoreCaller, backoffs_s
 from tests.soak.documents import (
     Document,
     DraftedChange,
@@ -28,7 +29,6 @@
 PATH = "/v1/configuration"
 CALL_TIMEOUT_S = 1.0
 MAX_REDIRECTS = 2
-MAX_BACKOFF_S = 0.5
 DEFINITE_REFUSALS = frozenset({400, 409, 412, 413, 422})
 RACE_SHARE, LOST_ANSWER_SHARE, RESEND_SHARE, INVALID_SHARE = 0.25, 0.15, 0.3, 0.15
 READ_INTERVAL_S = 0.15
@@ -43,14 +43,8 @@
     body: bytes = b""
 
 
-class Operators:
-    """All operators of a run; `recent_paths` tells callers which routes to try.
-
-    Parameters
-    ----------
-    cores : returns the machines of the operators' list.
-    clock : seconds on the monotonic clock.
-    """
+class Operators(CoreCaller):
+    """All operators of a run; `recent_routes` tells callers which routes to try."""
 
     def __init__(
         self,
@@ -59,10 +53,7 @@
         random_source: random.Random,
         clock: Callable[[], float],
     ) -> None:
-        self._cores = cores
-        self._history = history
-        self._random = random_source
-        self._clock = clock
+        super().__init__(cores, history, random_source, clock)
         self._change_count = 0
         self.current = Document(0, {})
         self.recent_routes: list[str] = []
@@ -142,7 +133,7 @@
 
     async def _send_until_clear(self, record: ChangeRecord, give_up_at: float) -> None:
         """Send one change until it is acknowledged or definitely refused."""
-        backoff_s = 0.05
+        pauses = backoffs_s()
         avoided = ""
         while self._clock() < give_up_at:
             core = self._choose_core(avoided)
@@ -160,12 +151,11 @@
                 record.refused_at.append((self._clock(), result.status))
                 return
             avoided = core.name
-            await asyncio.sleep(backoff_s)
-            backoff_s = min(MAX_BACKOFF_S, backoff_s * 1.6)
+            await asyncio.sleep(next(pauses))
 
     async def _resend(self, record: ChangeRecord) -> None:
         """Send an acknowledged change once more."""
-        result = await self._call_change(self._choose_core(""), record)
+        result = await self._call_change(self._choose_core(), record)
         now = self._clock()
         if result.status == 200:
             record.acknowledged_at.append(now)
@@ -186,13 +176,13 @@
             first_sent_at=self._clock(),
         )
         self._history.changes.append(record)
-        result = await self._call_change(self._choose_core(""), record)
+        result = await self._call_change(self._choose_core(), record)
         if result.status == 200:
             record.acknowledged_at.append(self._clock())
 
     async def _learn_current(self) -> None:
         """Read the configuration, because another change than known here may be in force."""
-        result = await self.read_once(self._choose_core(""))
+        result = await self.read_once(self._choose_core())
         if result is not None and result.number >= self.current.number:
             self.current = result.document
 
@@ -201,7 +191,7 @@
     async def read_until(self, stop: asyncio.Event) -> None:
         """Read the configuration at random cores until `stop`."""
         while not stop.is_set():
-            await self.read_once(self._choose_core(""))
+            await self.read_once(self._choose_core())
             await asyncio.sleep(READ_INTERVAL_S)
 
     async def read_once(self, core: MachineSpec, *, at_end: bool = False) -> ReadRecord | None:
@@ -219,11 +209,6 @@
 
     # --- calls ----------------------------------------------------------------------------
 
-    def _choose_core(self, avoided: str) -> MachineSpec:
-        cores = list(self._cores())
-        others = [core for core in cores if core.name != avoided] or cores
-        return self._random.choice(others)
-
     async def _call_change(self, core: MachineSpec, record: ChangeRecord) -> CallResult:
         headers = {"If-Match": str(record.base), "Content-Type": "application/json"}
         method = "PATCH" if record.is_patch else "PUT"
