Tests: crowds of clients that do not behave, and what they do to the processes

Clients outside the limits ended a process, and no test of ours sent anything outside them. Change: tests/crowds starts the processes of three machines with memoryMb 160 and fileDescriptors 500, sends one crowd to one address, and checks that the process lives, that its memory with what is unread and its descriptors stay within these settings, and that an ordinary request, a probe and an operator's read are answered while the crowd is connected. The crowds and the bounds are fixed here, before any change of the product; the bounds are those of the settings.

--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,10 @@
 	$(BIN)/ruff check --fix src tests
 
 # Three processes, each with whole files: half of a small machine, the same verdict in any order.
+# The crowds measure memory, and are played one at a time, apart from other load.
 test: lint
-	$(BIN)/python -m pytest --numprocesses 3 --dist loadfile
+	$(BIN)/python -m pytest --numprocesses 3 --dist loadfile --ignore tests/crowds
+	$(BIN)/python -m pytest tests/crowds
 
 bench: venv
 	$(BIN)/python -m zincvale.cli.main bench run
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -9,6 +9,7 @@
 import asyncio
 import ctypes
 import os
+import resource
 import shutil
 import signal
 import subprocess
@@ -21,7 +22,7 @@
 from tests.soak.cuts import CutTable
 from tests.soak.history import History, ProcessEnd
 from tests.soak.layout import MachineSpec
-from tests.soak.settings_file import GRACE_S, write_settings
+from tests.soak.settings_file import GRACE_S, ProcessLimits, write_settings
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 START_SCRIPT = REPOSITORY / "deploy" / "start.py"
@@ -72,6 +73,7 @@
     restart_delay_s : drawn anew for each restart.
     hangs_up_early : whether SIGHUP may reach an interpreter that has not run a statement yet.
     cuts : where the processes learn which machines are cut off; None if none ever are.
+    limits : what each process may use; None if that is not limited.
     """
 
     def __init__(
@@ -85,8 +87,10 @@
         *,
         hangs_up_early: bool = True,
         cuts: CutTable | None = None,
+        limits: ProcessLimits | None = None,
     ) -> None:
         self.cuts = cuts
+        self._limits = limits
         self.specs = {spec.name: spec for spec in specs}
         self._folder = folder
         self._list_address = list_address
@@ -167,6 +171,7 @@
             self._list_address,
             self._disk(process.machine),
             bootstrap=self._bootstrap,
+            limits=self._limits,
         )
 
     def _disk(self, spec: MachineSpec) -> Path:
@@ -217,12 +222,20 @@
                 stdout=output,
                 stderr=subprocess.STDOUT,
                 env=self._environment(process),
-                preexec_fn=_prepare_child,
+                preexec_fn=self._prepare_child,
             )
         self._history.started(process.machine.name, process.role, now)
         if not process.ended_by_itself:
             self._disturb(process.machine.name, now)
 
+    def _prepare_child(self) -> None:
+        """Die with the harness, and react to SIGHUP as by default even if the harness does not."""
+        _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+        reset_hangup()
+        if self._limits is not None:
+            descriptors = self._limits.file_descriptors
+            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
     def _command(self, role: str) -> list[str]:
         """Return the command of the deploy file, or that of the launcher if there are cuts."""
         if self.cuts is None:
@@ -355,12 +368,6 @@
     return next(path for path in sys.path if path.endswith("site-packages"))
 
 
-def _prepare_child() -> None:
-    """Die with the harness, and react to SIGHUP as by default even if the harness ignores it."""
-    _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-    reset_hangup()
-
-
 def reset_hangup() -> None:
     """Let SIGHUP end this process, as by default, whatever it inherited."""
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -150,7 +150,7 @@
             await self._stream()
             return
         await asyncio.sleep(LOOKUP_WORK_S * self.servers.random.uniform(0.5, 2.0))
-        self.finish(b"x" * 400)
+        self.finish(b"x" * int(self.request.headers.get("Answer-Bytes", "400")))
 
     async def _stream(self) -> None:
         self.set_header("Content-Type", "text/event-stream")
--- a/tests/soak/settings_file.py
+++ b/tests/soak/settings_file.py
@@ -5,6 +5,8 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+import attrs
+
 from tests.soak.layout import (
     CONTROL_PORT,
     FRONT_PORT,
@@ -18,6 +20,14 @@
 """Bounds in seconds that the settings state and the checks use."""
 
 
+@attrs.frozen
+class ProcessLimits:
+    """What the platform lets one process use."""
+
+    memory_mb: int
+    file_descriptors: int
+
+
 def write_settings(
     path: Path,
     machine: MachineSpec,
@@ -27,6 +37,7 @@
     data_folder: Path,
     *,
     bootstrap: bool,
+    limits: ProcessLimits | None = None,
 ) -> None:
     """Replace the settings file of one process, in one step."""
     data = str(data_folder) if role == "core" else ""
@@ -70,7 +81,17 @@
 address = "{list_address}"
 ratePerS = 44.0
 lagMs = 800
-"""
+{_limits_table(limits)}"""
     temporary = path.with_suffix(".new")
     temporary.write_text(text, encoding="utf-8")
     temporary.replace(path)
+
+
+def _limits_table(limits: ProcessLimits | None) -> str:
+    if limits is None:
+        return ""
+    return f"""[limits]
+cores = 1
+memoryMb = {limits.memory_mb}
+fileDescriptors = {limits.file_descriptors}
+"""
