Runtime: what a process accepts is bounded by its memory and descriptors, before it is read

Callers saw: clients outside the limits ended a process. Each listener had a constant of its own (64 MiB a body, 32 MiB at the API, 64 KiB of headers, 75 s), compared with the whole body, and nothing bounded the sum over connections; maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the document were used nowhere; accept failed once the descriptors were gone; tornado reads a chunked body on as long as bytes are there, so 40 senders of one-byte chunks took the loop. Change: runtime/admission. One budget of memory for all listeners of a process, from which a request reserves while its bytes arrive and until it is answered; what occupied most for longest gives way with 503, which is true since it was not passed on. One table of connections: a new one replaces one that waits for its client. The limits of the document in force at that moment: 413 by announced length, 431, 408 for a body that takes over 10 s (it was closed without an answer). Bodies are read in turns, at the socket. A refused client's socket lingers, so that it reads the answer. New settings memory_limit_mb and descriptor_limit (0: those of the machine); on the platform memoryMb and fileDescriptors. The gate on data_received that was tried first left 0.2 s, since tornado does not deliver while bytes are there.

--- a/src/zincvale/bench/relay_process.py
+++ b/src/zincvale/bench/relay_process.py
@@ -29,6 +29,7 @@
     Role,
     ServerRow,
 )
+from zincvale.model.forwarding import CallerLimits
 from zincvale.model.identifiers import (
     Address,
     MemberId,
@@ -39,6 +40,8 @@
     ZoneName,
 )
 from zincvale.model.resources import ModelSpec, PoolKind, PoolSpec, RouteSpec, ZoneSpec
+from zincvale.runtime.admission.admission import Admission
+from zincvale.runtime.admission.limits import FixedLimits, process_limits
 from zincvale.runtime.clock import suspend_aware_now, wall_now
 from zincvale.runtime.listening import listen
 from zincvale.runtime.settings import DaemonSettings
@@ -120,13 +123,19 @@
         """Drop the message."""
 
 
+def _admission() -> tuple[Admission, FixedLimits]:
+    """Return what limits the listener of this process."""
+    limits = FixedLimits(CallerLimits(max_body_bytes=MAX_BODY_BYTES))
+    return Admission(process_limits(), suspend_aware_now), limits
+
+
 def serve_back_end(address: str) -> None:
     """Start a back end."""
     listen(
         Application([(r"/(.*)", GenerateHandler)], log_function=_skip_access_log),
         address,
         "back end",
-        MAX_BODY_BYTES,
+        *_admission(),
     )
 
 
@@ -135,7 +144,7 @@
     PassThroughHandler.client = CurlAsyncHTTPClient(force_instance=True, max_clients=AMPLE_LIMIT)
     PassThroughHandler.back_ends = back_ends
     application = Application([(r"/(.*)", PassThroughHandler)], log_function=_skip_access_log)
-    listen(application, address, "pass-through", MAX_BODY_BYTES)
+    listen(application, address, "pass-through", *_admission())
 
 
 def serve_node(
@@ -161,7 +170,7 @@
     service.apply_intent(_intent())
     service.apply_directory(_directory(back_ends))
     application = Application(service.http_routes(), log_function=_skip_access_log)
-    listen(application, address, "node", MAX_BODY_BYTES)
+    listen(application, address, "node", *_admission())
 
     def tick() -> None:
         service.tick(clock())
--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -5,7 +5,6 @@
 from http import HTTPStatus
 from typing import Any
 
-from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
 from tornado.web import RequestHandler
 
@@ -29,6 +28,8 @@
 from zincvale.model.errors import ZincvaleError
 from zincvale.model.identifiers import MemberId
 from zincvale.runtime import log_events
+from zincvale.runtime.admission.limits import DocumentLimits
+from zincvale.runtime.admission.server import AdmittingServer
 from zincvale.runtime.forwarding_settings import ForwardingSettings
 from zincvale.runtime.listening import listen
 from zincvale.runtime.logs import log
@@ -53,8 +54,6 @@
 """How long before the platform kills a stopping node the node ends by itself."""
 FINAL_REFUSAL_S = 0.4
 """How long before its end a stopping node refuses the requests that are still pending."""
-MAX_CALLER_BODY_BYTES = 64 * 1024 * 1024
-"""Size limit of request bodies; the HTTP servers reject larger ones."""
 TOPICS = (LISTED_TOPIC, RESIDENCY_TOPIC)
 """Topics that a node follows. Moves are not needed: the residency topic omits a replica as soon as
 its unload is planned."""
@@ -101,19 +100,24 @@
             server.stop()
         self._service.close()
 
-    def _listen(self) -> list[HTTPServer]:
+    def _listen(self) -> list[AdmittingServer]:
         """Bind the addresses for callers and for readiness probes; `run` stops the servers."""
+        limits = DocumentLimits(
+            lambda: self._service.routing.document.limits, self._lease_watch.has_lease
+        )
         callers = listen(
             self._service.caller_server(),
             self._settings.api_address,
             "api_address",
-            MAX_CALLER_BODY_BYTES,
+            self.process.admission,
+            limits,
         )
         readiness = listen(
             application_without_access_log(self._readiness_and_trace_routes()),
             self._forwarding.readiness_address,
             "readiness_address",
-            MAX_CALLER_BODY_BYTES,
+            self.process.admission,
+            limits,
         )
         return [callers, readiness]
 
--- a/src/zincvale/daemons/process.py
+++ b/src/zincvale/daemons/process.py
@@ -8,13 +8,16 @@
 from typing import Any
 
 import attrs
-from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
 from tornado.web import Application
 
 from zincvale.coordination import protocol as _protocol  # noqa: F401  registers messages
+from zincvale.model.forwarding import CallerLimits
 from zincvale.model.identifiers import MemberId
 from zincvale.runtime import log_events
+from zincvale.runtime.admission.admission import Admission
+from zincvale.runtime.admission.limits import FixedLimits, process_limits
+from zincvale.runtime.admission.server import AdmittingServer
 from zincvale.runtime.driver import TICK_INTERVAL_MS, Machine, MachineDriver, Storage
 from zincvale.runtime.hangup import accept_hangups, defer_hangups
 from zincvale.runtime.listening import listen
@@ -25,7 +28,7 @@
 from zincvale.transport.peer_server import MAX_PEER_BODY_BYTES, PeerServer
 
 MAX_API_BODY_BYTES = 32 * 1024 * 1024
-"""Size limit of API request bodies, since each one is buffered as a whole."""
+"""Size limit of API request bodies; a process with little memory has a smaller one."""
 DRAIN_CHECK_INTERVAL_S = 0.05
 """Interval between two checks whether the drain is done; a longer one delays the stop."""
 GC_THRESHOLD_OBJECTS = 5_000
@@ -68,17 +71,24 @@
     router: PeerRouter
     server: PeerServer
     peers: PeerClient
+    admission: Admission
     _clock: Callable[[], float]
     on_reload: Callable[[], None] = _no_reload
     """Called on SIGHUP, since the settings file may have changed."""
-    _http_servers: list[HTTPServer] = attrs.field(factory=list)
+    _http_servers: list[AdmittingServer] = attrs.field(factory=list)
     _is_stopping: bool = False
 
     def listen(self, api: Application) -> None:
         """Bind the API address and the peer address; raises `StartupError`."""
         settings = self.settings
         self._http_servers.append(
-            listen(api, settings.api_address, "api_address", MAX_API_BODY_BYTES)
+            listen(
+                api,
+                settings.api_address,
+                "api_address",
+                self.admission,
+                self._limits(MAX_API_BODY_BYTES),
+            )
         )
         self.listen_peers()
 
@@ -89,11 +99,17 @@
                 self.server,
                 self.settings.peer_address,
                 "peer_address",
-                MAX_PEER_BODY_BYTES,
+                self.admission,
+                self._limits(MAX_PEER_BODY_BYTES),
                 expands_bodies=True,
             )
         )
 
+    def _limits(self, max_body_bytes: int) -> FixedLimits:
+        """Return limits whose largest body fits into the memory of the process."""
+        largest_bytes = min(max_body_bytes, self.admission.largest_body_bytes)
+        return FixedLimits(CallerLimits(max_body_bytes=largest_bytes))
+
     def run(self, drain: Drain) -> None:
         """Serve until SIGTERM or SIGINT, then drain."""
         loop = IOLoop.current()
@@ -184,7 +200,9 @@
 
     peers = PeerClient(identity, address_of, settings.address_map, deliver, _log_link_state)
     driver.peers = peers
-    return DaemonProcess(settings, identity, driver, router, server, peers, clock)
+    limits = process_limits(settings.memory_limit_mb, settings.descriptor_limit)
+    admission = Admission(limits, clock)
+    return DaemonProcess(settings, identity, driver, router, server, peers, admission, clock)
 
 
 @attrs.define
--- a/src/zincvale/platform/settings.py
+++ b/src/zincvale/platform/settings.py
@@ -73,6 +73,7 @@
     seeds = [_host(seed) for seed in decoded.get("seeds", [])]
     bootstrap = bool(decoded.get("bootstrap", False))
     listen = decoded.get("listen", {})
+    limits = decoded.get("limits", {})
     is_core = role == "core"
     daemon = DaemonSettings(
         cluster_id=CLUSTER_ID,
@@ -85,6 +86,8 @@
         seeds=[f"{seed}:{ports[0] + CORE_PORT}" for seed in seeds],
         data_folder=decoded.get("dataDirectory", ""),
         bootstrap_cores=[_initial_core(seed, ports[0]) for seed in seeds] if bootstrap else [],
+        memory_limit_mb=int(limits.get("memoryMb", 0)),
+        descriptor_limit=int(limits.get("fileDescriptors", 0)),
     )
     return ProcessSettings(daemon, _forwarding(decoded), bootstrap)
 
--- a/src/zincvale/runtime/listening.py
+++ b/src/zincvale/runtime/listening.py
@@ -5,18 +5,16 @@
 import errno
 import socket
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
 from zincvale.model.addresses import split_address
 from zincvale.model.errors import StartupError
+from zincvale.runtime.admission.admission import Admission
+from zincvale.runtime.admission.limits import ListenerLimits
+from zincvale.runtime.admission.server import AdmittingServer
 
-IDLE_CONNECTION_TIMEOUT_S = 75.0
-BODY_TIMEOUT_S = 10.0
-"""Time limit for receiving a request body; bounds how long a slow sender occupies a connection."""
-MAX_HEADER_BYTES = 64 * 1024
 LISTEN_BACKLOG = 1_024
 """Number of connections that may wait to be accepted; a smaller one refuses bursts of callers."""
 
@@ -25,27 +23,22 @@
     application: Application | HTTPServerConnectionDelegate,
     address: str,
     field_name: str,
-    max_body_bytes: int,
+    admission: Admission,
+    limits: ListenerLimits,
     *,
     expands_bodies: bool = False,
-) -> HTTPServer:
+) -> AdmittingServer:
     """Serve `application` at `address`; raises `StartupError`.
 
-    A connection is closed when the headers of a request take longer than
-    `IDLE_CONNECTION_TIMEOUT_S` or its body longer than `BODY_TIMEOUT_S`. With `expands_bodies`,
-    requests may be compressed with gzip; it is meant for peers only, since the expanded size is
-    not limited.
+    Parameters
+    ----------
+    admission : what all listeners of the process share.
+    limits : what a client of this listener may send, and how long it may take.
+    expands_bodies : whether requests may be compressed with gzip; the limits hold for the
+        expanded size.
     """
-    server = HTTPServer(
-        application,
-        idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
-        body_timeout=BODY_TIMEOUT_S,
-        max_header_size=MAX_HEADER_BYTES,
-        max_body_size=max_body_bytes,
-        decompress_request=expands_bodies,
-        max_buffer_size=max(max_body_bytes, 2 * MAX_HEADER_BYTES),
-    )
-    server.add_sockets(_bind(address, field_name))
+    server = AdmittingServer(application, admission, limits, expands_bodies=expands_bodies)
+    server.serve(_bind(address, field_name))
     return server
 
 
--- a/src/zincvale/runtime/log_events.py
+++ b/src/zincvale/runtime/log_events.py
@@ -44,6 +44,12 @@
 SETTINGS_RELOADED = declare(
     1010, "settings.reloaded", "The settings file was read again, after a signal or a change."
 )
+ADMISSION_LIMITED = declare(
+    1012,
+    "admission.limited",
+    "Requests or connections were refused or closed for lack of memory or descriptors, or because "
+    "they were too large or too slow; reasons counts them since the last such line.",
+)
 ORDER_COUNT_DIFFERS = declare(
     1009,
     "order.count-differs",
--- a/src/zincvale/runtime/settings.py
+++ b/src/zincvale/runtime/settings.py
@@ -50,6 +50,10 @@
     disk_quota_file: str = ""
     """File with the number of bytes by which the data folder may still grow; empty means no
     quota."""
+    memory_limit_mb: int = 0
+    """Memory that the process may use; 0 means that of the machine."""
+    descriptor_limit: int = 0
+    """Number of descriptors that the process may use; 0 means what its shell allows."""
 
 
 def load_settings(path: str, overrides: dict[str, Any] | None = None) -> DaemonSettings:
--- a/tests/daemons/test_process.py
+++ b/tests/daemons/test_process.py
@@ -28,7 +28,9 @@
             start=lambda: None, stop=lambda: None, last_ran_at=LAST_RAN_AT, peers=None
         )
         settings = SimpleNamespace(role="node", zone="z", api_address="", peer_address="")
-        process = DaemonProcess(settings, None, driver, None, None, None, clock=lambda: THAWED_AT)
+        process = DaemonProcess(
+            settings, None, driver, None, None, None, None, clock=lambda: THAWED_AT
+        )
         begin_times: list[float] = []
         checks = iter((False, False, True))
 
@@ -50,7 +52,9 @@
             start=lambda: None, stop=lambda: None, last_ran_at=LAST_RAN_AT, peers=None
         )
         settings = SimpleNamespace(role="node", zone="z", api_address="", peer_address="")
-        process = DaemonProcess(settings, None, driver, None, None, None, clock=lambda: THAWED_AT)
+        process = DaemonProcess(
+            settings, None, driver, None, None, None, None, clock=lambda: THAWED_AT
+        )
         begin_times: list[float] = []
 
         def signal_at_thaw() -> None:
