Forwarding: a deferred request that ended keeps its body no longer

Callers saw: before the first configuration, or without a lease, a node kept the body of every request that it had refused or whose caller had left, until a configuration came. Cause: the list of deferred requests was only emptied when they began, and the timer of the wait referred to the request for 1.5 s more. Change: a request leaves the list, and its timer is cancelled, when its wait ends. Evidence: the unit test failed before (two requests left in the list).

--- a/src/zincvale/dataplane/forwarding/service.py
+++ b/src/zincvale/dataplane/forwarding/service.py
@@ -91,7 +91,7 @@
         self._refuses_new_requests = False
         self._draining_since = 0.0
         self._process_ends_at = 0.0
-        self._deferred: list[_DeferredRequest] = []
+        self._deferred: dict[_DeferredRequest, None] = {}
         self._lease_watch = lease_watch or LeaseWatch(lambda: True)
         self.context = ForwardingContext(
             routing=RoutingState(config.zone, config.member, config.fleet_limits),
@@ -130,14 +130,18 @@
         deferred = _DeferredRequest(self, incoming, sink)
         loop = asyncio.get_running_loop()
         if not self.routing.is_configured:
-            loop.call_later(CONFIGURATION_WAIT_S, deferred.give_up)
+            deferred.timer = loop.call_later(CONFIGURATION_WAIT_S, deferred.give_up)
         elif self._lease_watch.should_wait(self._clock()):
-            loop.call_later(LEASE_WAIT_S, deferred.begin)
+            deferred.timer = loop.call_later(LEASE_WAIT_S, deferred.begin)
         else:
             return self.begin_request(incoming, sink)
-        self._deferred.append(deferred)
+        self._deferred[deferred] = None
         return deferred
 
+    def forget_deferred(self, deferred: _DeferredRequest) -> None:
+        """Forget a deferred request that was begun, refused or given up by its caller."""
+        self._deferred.pop(deferred, None)
+
     def begin_deferred(self) -> None:
         """Begin the deferred requests once there is a configuration and the wait for a lease ends.
 
@@ -148,8 +152,7 @@
             return
         if self._lease_watch.should_wait(self._clock()):
             return
-        deferred, self._deferred = self._deferred, []
-        for request in deferred:
+        for request in list(self._deferred):
             request.begin()
 
     def begin_request(self, incoming: IncomingRequest, sink: CallerSink) -> ForwardedRequest | None:
@@ -290,23 +293,30 @@
         self._incoming = incoming
         self._sink = sink
         self._is_pending = True
+        self.timer: asyncio.TimerHandle | None = None
         self._begun: ForwardedRequest | None = None
 
     def begin(self) -> None:
         """Begin the request, unless it has begun or was refused."""
-        if self._is_pending:
-            self._is_pending = False
+        if self._end_wait():
             self._begun = self._service.begin_request(self._incoming, self._sink)
 
     def give_up(self) -> None:
         """Refuse the request, which never ran; the caller may retry."""
-        if self._is_pending:
-            self._is_pending = False
+        if self._end_wait():
             problem = "no configuration is known yet"
             _reply(self._sink, UNAVAILABLE, problem, NO_DOCUMENT_RETRY_AFTER_S)
 
     def on_caller_disconnected(self) -> None:
         """Drop the request, or end it if it has begun: the caller closed its connection."""
-        self._is_pending = False
+        self._end_wait()
         if self._begun is not None:
             self._begun.on_caller_disconnected()
+
+    def _end_wait(self) -> bool:
+        """End the wait and return whether it had not ended; the service keeps no body longer."""
+        was_pending, self._is_pending = self._is_pending, False
+        if self.timer is not None:
+            self.timer.cancel()
+        self._service.forget_deferred(self)
+        return was_pending
--- a/tests/dataplane/forwarding/test_service.py
+++ b/tests/dataplane/forwarding/test_service.py
@@ -271,6 +271,17 @@
 
 
 class DeferredRequestTest(testtools.TestCase):
+    def test_the_body_of_a_deferred_request_that_ended_is_kept_no_longer(self):
+        async def scenario():
+            node = Node(is_configured=False)
+            refused, _ = node.send_request()
+            left, _ = node.send_request()
+            refused.give_up()
+            left.on_caller_disconnected()
+            self.assertEqual([], list(node.service._deferred))
+
+        run(scenario)
+
     def test_a_started_node_defers_requests_until_it_is_configured(self):
         async def scenario():
             node = Node(is_configured=False)
