--- a/src/zincvale/runtime/admission/admission.py
+++ b/src/zincvale/runtime/admission/admission.py
@@ -24,7 +24,7 @@
 """Memory of a request besides its body: objects, headers and the receive buffer of the kernel."""
 BODY_COPIES = 2
 """How often a body is in memory at once: as it was received and as it is sent to a server."""
-SWEEP_INTERVAL_MS = 500
+SWEEP_INTERVAL_MS = 1_000
 LOG_INTERVAL_S = 5.0
 LINGERING_SHARE = 8
 """There is one lingering socket for this many connections at most."""
@@ -49,13 +49,15 @@
     """
 
     def __init__(self, limits: ProcessLimits, clock: Callable[[], float]) -> None:
-        self.clock = clock
+        self._clock = clock
+        self.now = clock()
+        """The time in seconds at the last `update_now`, which is called as requests arrive."""
         self.budget = MemoryBudget(limits.request_bytes)
         self.connections = ConnectionTable(limits.connections)
         self.lingering = LingeringSockets(max(1, limits.connections // LINGERING_SHARE))
         self.turns = TurnQueue(lambda action: IOLoop.current().add_callback(action))
         self._refusals: Counter[Refusal] = Counter()
-        self._logged_at = clock() - LOG_INTERVAL_S
+        self._logged_at = self.now - LOG_INTERVAL_S
         self._sweeping: PeriodicCallback | None = None
 
     @property
@@ -70,6 +72,11 @@
             self._sweeping = PeriodicCallback(self._sweep, SWEEP_INTERVAL_MS)
             self._sweeping.start()
 
+    def update_now(self) -> float:
+        """Read the clock, and return `now`."""
+        self.now = self._clock()
+        return self.now
+
     def make_room(self) -> bool:
         """Close a connection if there are as many as allowed; return whether one may be added."""
         return not self.connections.is_full or self.replace_one(Refusal.CONNECTIONS)
@@ -77,7 +84,7 @@
     def replace_one(self, reason: Refusal) -> bool:
         """Close the connection that gives way to a new one; return whether there was one."""
         self.record(reason)
-        connection = self.connections.to_replace(self.clock())
+        connection = self.connections.to_replace(self.update_now())
         if connection is None:
             return False
         self._close(connection)
@@ -96,7 +103,7 @@
         connection.close()
 
     def _sweep(self) -> None:
-        now = self.clock()
+        now = self.update_now()
         for connection in self.connections.timed_out(now):
             self.record(Refusal.TIMEOUT)
             self._close(connection)
--- a/src/zincvale/runtime/admission/request_receiver.py
+++ b/src/zincvale/runtime/admission/request_receiver.py
@@ -25,8 +25,10 @@
 )
 from zincvale.runtime.admission.budget import Reservation
 from zincvale.runtime.admission.connections import Connection, Phase
-from zincvale.runtime.admission.stream import BODY_READ_BYTES, AdmittedStream
+from zincvale.runtime.admission.stream import AdmittedStream
 
+TURN_BYTES = 64 * 1024
+"""How much of a body of stated length is received in one turn."""
 CHUNKED_TURN_BYTES = 8 * 1024
 """How much of a chunked body is received in one turn, since its framing costs processor time."""
 SMALL_CHUNKS_TURN_BYTES = 512
@@ -86,9 +88,10 @@
         self._request_connection = request_connection
         self._stream: AdmittedStream = request_connection.stream
         self._receiver = receiver
-        self._reservation = Reservation(admission.clock(), lambda: self.refuse(NO_MEMORY))
+        self._reservation = Reservation(admission.now, lambda: self.refuse(NO_MEMORY))
         self._body = bytearray()
         self._headers_bytes = 0
+        """Counted only where the headers may be over the limit."""
         self._received_bytes = 0
         self._turns = 0
         self._is_turn_due = False
@@ -112,7 +115,6 @@
         if has_body:
             self._enter(Phase.BODY)
             self._is_chunked = "Transfer-Encoding" in headers
-            self._stream.read_limit_bytes = BODY_READ_BYTES
             self._begin_turn()
         self._has_headers = True
         return self._receiver.headers_received(start_line, headers)
@@ -178,9 +180,11 @@
 
     def _refusal_of_headers(self, headers: HTTPHeaders) -> RefusedRequest | None:
         limits = self._connection.limits.current()
-        self._headers_bytes = sum(
-            len(name) + len(value) + HEADER_SEPARATORS_BYTES for name, value in headers.get_all()
-        )
+        if self._received_bytes > limits.max_header_bytes:
+            self._headers_bytes = sum(
+                len(name) + len(value) + HEADER_SEPARATORS_BYTES
+                for name, value in headers.get_all()
+            )
         if self._headers_bytes > limits.max_header_bytes:
             return self._unless_outdated(HEADERS_TOO_LARGE)
         length = headers.get("Content-Length", "")
@@ -196,10 +200,10 @@
 
     def _reserve(self, size_bytes: int) -> bool:
         admission = self._admission
-        return admission.budget.grow(self._reservation, size_bytes, admission.clock())
+        return admission.budget.grow(self._reservation, size_bytes, admission.now)
 
     def _enter(self, phase: Phase) -> None:
-        self._admission.connections.enter(self._connection, phase, self._admission.clock())
+        self._admission.connections.enter(self._connection, phase, self._admission.now)
 
     def _begin_turn(self) -> None:
         """Allow the stream to read the next part of the body."""
@@ -210,9 +214,9 @@
 
     def _turn_bytes(self) -> int:
         if not self._is_chunked:
-            return BODY_READ_BYTES
+            return TURN_BYTES
         framed_bytes = self._received_bytes - self._headers_bytes
-        has_small_chunks = framed_bytes > 2 * len(self._body) + 2 * CHUNKED_TURN_BYTES
+        has_small_chunks = framed_bytes > 2 * (len(self._body) + CHUNKED_TURN_BYTES)
         return SMALL_CHUNKS_TURN_BYTES if has_small_chunks else CHUNKED_TURN_BYTES
 
     def _end_refused(self) -> None:
--- a/src/zincvale/runtime/admission/server.py
+++ b/src/zincvale/runtime/admission/server.py
@@ -19,7 +19,7 @@
 from zincvale.runtime.admission.connections import Connection, Phase
 from zincvale.runtime.admission.limits import CONNECTION_BYTES, ListenerLimits
 from zincvale.runtime.admission.request_receiver import TOO_SLOW, RequestReceiver
-from zincvale.runtime.admission.stream import HEADERS_READ_BYTES, AdmittedStream
+from zincvale.runtime.admission.stream import AdmittedStream
 
 RECEIVE_BUFFER_BYTES = 32 * 1024
 """What the kernel holds of a connection that is not read; the kernel doubles the number."""
@@ -48,7 +48,8 @@
     def on_received(self, size_bytes: int) -> None:
         """Count received bytes; headers beyond the usual ones reserve memory."""
         if self.phase is Phase.IDLE:
-            self.admission.connections.enter(self, Phase.HEADERS, self.admission.clock())
+            self.admission.update_now()
+            self.admission.connections.enter(self, Phase.HEADERS, self.admission.now)
         if self.phase is Phase.HEADERS:
             self._on_headers_received(size_bytes)
         if self.receiver is not None:
@@ -61,7 +62,7 @@
 
     def on_unsent_changed(self, unsent_bytes: int) -> None:
         """Reserve memory for the part of a response that its client has not read."""
-        now = self.admission.clock()
+        now = self.admission.update_now()
         self.stalled_since = now if unsent_bytes else None
         if self.unsent is None:
             self.unsent = Reservation(now, self.stream.close)
@@ -83,9 +84,8 @@
         """Receive the next request; the one before has ended."""
         self.end_request()
         self.receiver = receiver
-        self.stream.read_limit_bytes = HEADERS_READ_BYTES
         self.stream.allowance_bytes = None
-        self.admission.connections.enter(self, Phase.IDLE, self.admission.clock())
+        self.admission.connections.enter(self, Phase.IDLE, self.admission.now)
 
     def end_request(self) -> None:
         """Return the memory of the request that has ended."""
@@ -115,7 +115,7 @@
         self.headers_bytes += size_bytes
         if self.headers_bytes <= CONNECTION_BYTES:
             return
-        now = self.admission.clock()
+        now = self.admission.now
         if self.headers is None:
             self.headers = Reservation(now, self.stream.close)
         if not self.admission.budget.grow(self.headers, size_bytes, now):
@@ -150,6 +150,8 @@
             max_header_size=self._max_header_bytes(),
             max_body_size=sys.maxsize,
         )
+        # The admission closes connections that take too long, without a timer for each request.
+        self.conn_params.header_timeout = None
 
     def serve(self, listeners: list[socket.socket]) -> None:
         """Accept connections at bound sockets."""
@@ -211,13 +213,14 @@
 
     def _admit(self, connection: socket.socket, address: Any) -> None:
         admission = self._admission
+        admission.update_now()
         if not admission.make_room():
             connection.close()
             return
         stream = AdmittedStream(connection, admission.close_late)
         admitted = _AdmittedConnection(
             limits=self._limits,
-            phase_since=admission.clock(),
+            phase_since=admission.now,
             admission=admission,
             stream=stream,
         )
--- a/src/zincvale/runtime/admission/stream.py
+++ b/src/zincvale/runtime/admission/stream.py
@@ -10,9 +10,8 @@
 from tornado.concurrent import Future
 from tornado.iostream import IOStream, UnsatisfiableReadError
 
-HEADERS_READ_BYTES = 8 * 1024
-"""Largest single read before the headers of a request are complete."""
-BODY_READ_BYTES = 64 * 1024
+READ_BYTES = 16 * 1024
+"""Largest single read; most requests arrive in one."""
 MAX_BUFFER_BYTES = 16 * 1024 * 1024
 """Never reached: a read ends when its result, which is limited, is complete."""
 
@@ -38,10 +37,10 @@
 
 
 class AdmittedStream(IOStream):
-    """A stream whose reads are limited in size.
+    """A stream whose reads are limited.
 
-    A read returns at most `read_limit_bytes`. While `allowance_bytes` is not None, the stream reads
-    no more than that in total, even if more has arrived, until its observer sets another one.
+    While `allowance_bytes` is not None, the stream reads no more than that in total, even if more
+    has arrived, until its observer sets another allowance.
 
     Parameters
     ----------
@@ -51,8 +50,7 @@
     def __init__(
         self, connection: socket.socket, close_late: Callable[[socket.socket], None]
     ) -> None:
-        super().__init__(connection, MAX_BUFFER_BYTES, BODY_READ_BYTES)
-        self.read_limit_bytes = HEADERS_READ_BYTES
+        super().__init__(connection, MAX_BUFFER_BYTES, READ_BYTES)
         self.allowance_bytes: int | None = None
         self.observer: StreamObserver | None = None
         self.closes_late = False
@@ -61,13 +59,16 @@
         self._close_late = close_late
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        """Read within the limit and the allowance; None when nothing can be read now."""
-        limit_bytes = self._next_read_bytes()
-        if not limit_bytes:
+        """Read within the allowance; None when nothing can be read now."""
+        if self.allowance_bytes == 0 and self.observer is not None:
+            self.observer.on_allowance_spent()
+        size = len(buf)
+        if self.allowance_bytes is not None:
+            size = min(size, self.allowance_bytes)
+        if not size:
             return None
         try:
-            with memoryview(buf) as whole, whole[:limit_bytes] as part:
-                received: int = self.socket.recv_into(part)
+            received: int = self.socket.recv_into(buf, size)
         except BlockingIOError:
             return None
         if self.allowance_bytes is not None:
@@ -111,13 +112,6 @@
         else:
             connection.close()
 
-    def _next_read_bytes(self) -> int:
-        if self.allowance_bytes == 0 and self.observer is not None:
-            self.observer.on_allowance_spent()
-        if self.allowance_bytes is None:
-            return self.read_limit_bytes
-        return min(self.read_limit_bytes, self.allowance_bytes)
-
     def _notify_unsent(self) -> None:
         if self.observer is not None:
             self.observer.on_unsent_changed(self.unsent_bytes)
--- a/tests/crowds/crowd_process.py
+++ b/tests/crowds/crowd_process.py
@@ -1,6 +1,7 @@
 """Plays one crowd against one address, in a process of its own, until its input is closed.
 
-`python -m tests.crowds.crowd_process CROWD ADDRESS` prints how its connections ended.
+`python -m tests.crowds.crowd_process CROWD ADDRESS SCALE` prints how its connections ended.
+`SCALE` is a factor on their number.
 """
 
 from __future__ import annotations
@@ -11,6 +12,8 @@
 import sys
 from collections import Counter
 
+import attrs
+
 from tests.crowds.crowds import CROWDS, Crowd, Pause
 
 RECONNECT_PAUSE_S = 0.2
@@ -87,10 +90,12 @@
 
 def main() -> None:
     """Play the crowd that the arguments name."""
-    name, address = sys.argv[1:]
+    name, address, scale = sys.argv[1:]
     _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
-    print(json.dumps(asyncio.run(_play(CROWDS[name], address))))
+    crowd = CROWDS[name]
+    crowd = attrs.evolve(crowd, connections=max(1, int(crowd.connections * float(scale))))
+    print(json.dumps(asyncio.run(_play(crowd, address))))
 
 
 if __name__ == "__main__":
--- a/tests/crowds/crowd_run.py
+++ b/tests/crowds/crowd_run.py
@@ -81,6 +81,21 @@
         return problems
 
 
+async def start_crowd(crowd: str, address: str, scale: float = 1.0) -> asyncio.subprocess.Process:
+    """Start a process that plays a crowd until its input is closed."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "tests.crowds.crowd_process",
+        crowd,
+        address,
+        str(scale),
+        cwd=REPOSITORY,
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+    )
+
+
 class CrowdRun:
     """A fleet with servers, and one crowd at one address of its first machine."""
 
@@ -150,7 +165,7 @@
         assert process.popen is not None
         popen = process.popen
         monitor = UsageMonitor(popen.pid, self.specs[0].ip, PORTS[role])
-        sender = await self.start_crowd(crowd, port)
+        sender = await start_crowd(crowd, f"{self.specs[0].ip}:{port}")
         beside = await self._call_beside()
         if not is_configured:
             await self.configure()
@@ -203,7 +218,7 @@
         """Ask a process to stop while a crowd is connected; return its exit status."""
         popen = self.process(role).popen
         assert popen is not None
-        sender = await self.start_crowd(crowd, port)
+        sender = await start_crowd(crowd, f"{self.specs[0].ip}:{port}")
         await asyncio.sleep(STOP_AFTER_S)
         self.fleet.terminate(self.specs[0].name)
         while popen.poll() is None:
@@ -223,18 +238,6 @@
         finally:
             writer.close()
 
-    async def start_crowd(self, crowd: str, port: int) -> asyncio.subprocess.Process:
-        return await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "tests.crowds.crowd_process",
-            crowd,
-            f"{self.specs[0].ip}:{port}",
-            cwd=REPOSITORY,
-            stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE,
-        )
-
     async def _call_beside(self) -> Counter[str]:
         beside: Counter[str] = Counter()
         until = time.monotonic() + CROWD_S
--- a/tests/crowds/usage.py
+++ b/tests/crowds/usage.py
@@ -46,8 +46,15 @@
     address, ports : where the process listens; what arrived there counts before it is accepted.
     """
 
-    def __init__(self, pid: int, address: str, ports: tuple[int, ...]) -> None:
+    def __init__(
+        self,
+        pid: int,
+        address: str,
+        ports: tuple[int, ...],
+        sample_interval_s: float = SAMPLE_INTERVAL_S,
+    ) -> None:
         self._pid = pid
+        self._sample_interval_s = sample_interval_s
         self._local_ends = {f"{_hexadecimal(address)}:{port:04X}" for port in ports}
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -61,10 +68,11 @@
         return self.usage
 
     def _run(self) -> None:
-        while not self._stopping.wait(SAMPLE_INTERVAL_S):
+        while not self._stopping.wait(self._sample_interval_s):
             try:
                 self._sample()
-            except OSError:
+            except (OSError, KeyError):
+                # The process has ended; a status without sizes is that of a zombie.
                 return
 
     def _sample(self) -> None:
