Runtime: a peer's request is counted for 16 KiB, since long polls wait for long

Cause: found by reading. Each pending long poll of a node counted 96 KiB at its core, most of it for bytes that a caller may send and a peer doesn't. Change: the peer address counts 16 KiB a request; bodies count as before. Figures: unit test of 100 pending polls: 1.6 MB reserved.

--- a/src/zincvale/daemons/process.py
+++ b/src/zincvale/daemons/process.py
@@ -15,7 +15,7 @@
 from zincvale.model.forwarding import CallerLimits
 from zincvale.model.identifiers import MemberId
 from zincvale.runtime import log_events
-from zincvale.runtime.admission.admission import Admission
+from zincvale.runtime.admission.admission import PEER_REQUEST_BYTES, Admission
 from zincvale.runtime.admission.limits import FixedLimits, process_limits
 from zincvale.runtime.admission.server import AdmittingServer
 from zincvale.runtime.driver import TICK_INTERVAL_MS, Machine, MachineDriver, Storage
@@ -102,6 +102,7 @@
                 self.admission,
                 self._limits(MAX_PEER_BODY_BYTES),
                 expands_bodies=True,
+                request_bytes=PEER_REQUEST_BYTES,
             )
         )
 
--- a/src/zincvale/runtime/admission/admission.py
+++ b/src/zincvale/runtime/admission/admission.py
@@ -22,6 +22,8 @@
 
 REQUEST_BYTES = 96 * 1024
 """Memory of a request besides its body: objects, headers and the receive buffer of the kernel."""
+PEER_REQUEST_BYTES = 16 * 1024
+"""The same for a peer, which sends nothing while it waits for a response, as a long poll does."""
 BODY_COPIES = 2
 """How often a body is in memory at once: as it was received and as it is sent to a server."""
 SWEEP_INTERVAL_MS = 1_000
--- a/src/zincvale/runtime/admission/request_receiver.py
+++ b/src/zincvale/runtime/admission/request_receiver.py
@@ -19,7 +19,6 @@
 
 from zincvale.runtime.admission.admission import (
     BODY_COPIES,
-    REQUEST_BYTES,
     Admission,
     Refusal,
 )
@@ -82,12 +81,14 @@
         connection: Connection,
         request_connection: Any,
         receiver: HTTPMessageDelegate,
+        request_bytes: int,
     ) -> None:
         self._admission = admission
         self._connection = connection
         self._request_connection = request_connection
         self._stream: AdmittedStream = request_connection.stream
         self._receiver = receiver
+        self._request_bytes = request_bytes
         self._reservation = Reservation(admission.now, lambda: self.refuse(NO_MEMORY))
         self._body = bytearray()
         self._headers_bytes = 0
@@ -190,7 +191,7 @@
         length = headers.get("Content-Length", "")
         if length.isdecimal() and int(length) > limits.max_body_bytes:
             return self._unless_outdated(BODY_TOO_LARGE)
-        return None if self._reserve(REQUEST_BYTES) else NO_MEMORY
+        return None if self._reserve(self._request_bytes) else NO_MEMORY
 
     def _unless_outdated(self, refusal: RefusedRequest) -> RefusedRequest:
         """Return `refusal`, or one that allows a retry while newer limits may be in force."""
--- a/src/zincvale/runtime/admission/server.py
+++ b/src/zincvale/runtime/admission/server.py
@@ -14,7 +14,7 @@
 from tornado.ioloop import IOLoop
 from tornado.web import Application
 
-from zincvale.runtime.admission.admission import Admission, Refusal
+from zincvale.runtime.admission.admission import REQUEST_BYTES, Admission, Refusal
 from zincvale.runtime.admission.budget import Reservation
 from zincvale.runtime.admission.connections import Connection, Phase
 from zincvale.runtime.admission.limits import CONNECTION_BYTES, ListenerLimits
@@ -138,11 +138,13 @@
         admission: Admission,
         limits: ListenerLimits,
         *,
-        expands_bodies: bool,
+        expands_bodies: bool = False,
+        request_bytes: int = REQUEST_BYTES,
     ) -> None:
         """Set what tornado's constructor passes on; the receiver enforces the limits of bodies."""
         self._admission = admission
         self._limits = limits
+        self._request_bytes = request_bytes
         self._listeners: list[socket.socket] = []
         super().initialize(
             application,
@@ -175,7 +177,9 @@
         # Tornado reads this for each request, and the operators may have changed the limit.
         self.conn_params.max_header_size = self._max_header_bytes()
         inner = super().start_request(server_conn, request_conn)
-        receiver = RequestReceiver(self._admission, admitted, request_conn, inner)
+        receiver = RequestReceiver(
+            self._admission, admitted, request_conn, inner, self._request_bytes
+        )
         admitted.begin_request(receiver)
         return receiver
 
--- a/src/zincvale/runtime/listening.py
+++ b/src/zincvale/runtime/listening.py
@@ -11,7 +11,7 @@
 
 from zincvale.model.addresses import split_address
 from zincvale.model.errors import StartupError
-from zincvale.runtime.admission.admission import Admission
+from zincvale.runtime.admission.admission import REQUEST_BYTES, Admission
 from zincvale.runtime.admission.limits import ListenerLimits
 from zincvale.runtime.admission.server import AdmittingServer
 
@@ -27,6 +27,7 @@
     limits: ListenerLimits,
     *,
     expands_bodies: bool = False,
+    request_bytes: int = REQUEST_BYTES,
 ) -> AdmittingServer:
     """Serve `application` at `address`; raises `StartupError`.
 
@@ -36,8 +37,15 @@
     limits : what a client of this listener may send, and how long it may take.
     expands_bodies : whether requests may be compressed with gzip; the limits hold for the
         expanded size.
+    request_bytes : memory that a request is counted for besides its body.
     """
-    server = AdmittingServer(application, admission, limits, expands_bodies=expands_bodies)
+    server = AdmittingServer(
+        application,
+        admission,
+        limits,
+        expands_bodies=expands_bodies,
+        request_bytes=request_bytes,
+    )
     server.serve(_bind(address, field_name))
     return server
 
--- a/tests/runtime/admission/test_server.py
+++ b/tests/runtime/admission/test_server.py
@@ -16,7 +16,12 @@
 from tornado.netutil import bind_sockets
 
 from zincvale.model.forwarding import CallerLimits
-from zincvale.runtime.admission.admission import BODY_COPIES, REQUEST_BYTES, Admission
+from zincvale.runtime.admission.admission import (
+    BODY_COPIES,
+    PEER_REQUEST_BYTES,
+    REQUEST_BYTES,
+    Admission,
+)
 from zincvale.runtime.admission.limits import DocumentLimits, ProcessLimits
 from zincvale.runtime.admission.server import AdmittingServer
 
@@ -86,6 +91,7 @@
         self.handler = _Handler()
         self.limits = CallerLimits(max_header_bytes=2_000, max_body_bytes=MAX_BODY_BYTES)
         self.has_lease = True
+        self.request_bytes = REQUEST_BYTES
         self.now = 0.0
         self.writers: list[asyncio.StreamWriter] = []
 
@@ -98,7 +104,9 @@
         async def run() -> None:
             self.admission = Admission(ProcessLimits(memory_bytes, descriptors), lambda: self.now)
             limits = DocumentLimits(lambda: self.limits, lambda: self.has_lease)
-            server = AdmittingServer(self.handler, self.admission, limits, expands_bodies=False)
+            server = AdmittingServer(
+                self.handler, self.admission, limits, request_bytes=self.request_bytes
+            )
             server.serve(bind_sockets(PORT, HOST))
             try:
                 await scenario()
@@ -191,6 +199,19 @@
 
         self.play(scenario)
 
+    def test_peers_that_wait_in_long_polls_hold_little_memory(self) -> None:
+        self.handler.answers_at_once = False
+        self.request_bytes = PEER_REQUEST_BYTES
+        polls = 100
+
+        async def scenario() -> None:
+            for _ in range(polls):
+                await self.send(with_length(0))
+            await settle(lambda: len(self.handler.connections) == polls, MANY)
+            self.assertEqual(polls * PEER_REQUEST_BYTES, self.admission.budget.reserved_bytes)
+
+        self.play(scenario, descriptors=10_000)
+
     def test_a_closed_connection_holds_no_memory(self) -> None:
         async def scenario() -> None:
             await self.send(with_length(1_000) + b"b" * 500)
