Runtime: a response stalls from the last byte that its client read

Cause: found by reading. The time since which a client leaves a response unread began anew with each part that the server wrote, so a stream to a client that never reads was never found to stall, and its connection never gave way. Change: the time begins with the first unread byte and anew only when the client reads. Figures: the unit test failed before (no connection timed out) and passes.

--- a/src/zincvale/runtime/admission/server.py
+++ b/src/zincvale/runtime/admission/server.py
@@ -63,10 +63,13 @@
     def on_unsent_changed(self, unsent_bytes: int) -> None:
         """Reserve memory for the part of a response that its client has not read."""
         now = self.admission.update_now()
-        self.stalled_since = now if unsent_bytes else None
         if self.unsent is None:
             self.unsent = Reservation(now, self.stream.close)
         growth = unsent_bytes - self.unsent.size_bytes
+        if not unsent_bytes:
+            self.stalled_since = None
+        elif growth < 0 or self.stalled_since is None:
+            self.stalled_since = now
         if growth < 0:
             self.admission.budget.shrink(self.unsent, -growth)
         elif not self.admission.budget.grow(self.unsent, growth, now):
--- a/tests/runtime/admission/test_server.py
+++ b/tests/runtime/admission/test_server.py
@@ -27,6 +27,8 @@
 
 HOST, PORT = "127.63.0.1", 8144
 MAX_BODY_BYTES = 100_000
+UNREAD_BYTES = 16 * 1024 * 1024
+"""More than the sockets of a connection hold."""
 HEADERS = b"POST / HTTP/1.1\r\nHost: a\r\n"
 READ_TIMEOUT_S = 20.0
 MANY = 100_000
@@ -224,6 +226,23 @@
 
         self.play(scenario)
 
+    def test_a_response_stalls_from_the_last_byte_read_and_not_the_last_one_written(self) -> None:
+        self.handler.answers_at_once = False
+
+        async def scenario() -> None:
+            await self.send(with_length(0))
+            await settle(lambda: bool(self.handler.connections), MANY)
+            connection = self.handler.connections[0]
+            connection.write_headers(ResponseStartLine("HTTP/1.1", 200, "OK"), HTTPHeaders())
+            for self.now in (1.0, 2.0):
+                connection.write(b"r" * UNREAD_BYTES)
+            (stalled,) = self.admission.connections.timed_out(
+                1.0 + CallerLimits().idle_timeout_s + 0.1
+            )
+            self.assertEqual(1.0, stalled.stalled_since)
+
+        self.play(scenario, memory_bytes=10 * UNREAD_BYTES)
+
     def test_headers_over_the_limit_are_refused(self) -> None:
         async def scenario() -> None:
             for size in (2_100, 50_000):
