Runtime: accepted connections leave as many descriptors for connections to servers

Cause: accepted connections could use half of the descriptors. Each request in progress needs one to its server too, so that with idle connections, peers and files a process could run out of them. Change: a third of them.

--- a/src/zincvale/runtime/admission/limits.py
+++ b/src/zincvale/runtime/admission/limits.py
@@ -21,9 +21,9 @@
 """Memory of a connection between requests: its objects and the headers of the next request."""
 RESERVED_DESCRIPTORS = 200
 """Descriptors for files, which connections do not use."""
-CONNECTIONS_DESCRIPTOR_SHARE = 0.5
-"""Part of the descriptors that accepted connections may use; connections to servers and peers use
-the others."""
+CONNECTIONS_DESCRIPTOR_SHARE = 1 / 3
+"""Part of the descriptors that accepted connections may use. Each of them may need a connection to
+a server as well, and the rest is for idle connections to servers, for peers and for files."""
 MIN_CONNECTIONS = 16
 
 
