Runtime: a stated length of thousands of digits is refused like any other over the limit

Cause: found by reading. Python refuses to read integers of over 4,300 digits, and the check of the announced length raised; the connection closed without an answer and a traceback was logged each time. Change: more than 18 digits are over every limit. Figures: the unit test failed before (no answer, ValueError) and passes.

--- a/src/zincvale/runtime/admission/request_receiver.py
+++ b/src/zincvale/runtime/admission/request_receiver.py
@@ -32,6 +32,8 @@
 """How much of a chunked body is received in one turn, since its framing costs processor time."""
 SMALL_CHUNKS_TURN_BYTES = 512
 """The same for a body with more framing than content, each byte of which costs most."""
+MAX_LENGTH_DIGITS = 18
+"""A stated length with more digits is over every limit; Python does not read very long numbers."""
 HEADER_SEPARATORS_BYTES = 4
 """Bytes that each header has besides its name and value."""
 RETRY_AFTER_S = 0.5
@@ -188,8 +190,7 @@
             )
         if self._headers_bytes > limits.max_header_bytes:
             return self._unless_outdated(HEADERS_TOO_LARGE)
-        length = headers.get("Content-Length", "")
-        if length.isdecimal() and int(length) > limits.max_body_bytes:
+        if _announces_more(headers.get("Content-Length", ""), limits.max_body_bytes):
             return self._unless_outdated(BODY_TOO_LARGE)
         return None if self._reserve(self._request_bytes) else NO_MEMORY
 
@@ -245,3 +246,10 @@
             self._request_connection.finish()
         except StreamClosedError:
             """The client has left."""
+
+
+def _announces_more(length: str, limit_bytes: int) -> bool:
+    """Whether a `Content-Length` is over a limit; an invalid one is left to the HTTP server."""
+    if not length.isdecimal():
+        return False
+    return len(length) > MAX_LENGTH_DIGITS or int(length) > limit_bytes
--- a/tests/runtime/admission/test_server.py
+++ b/tests/runtime/admission/test_server.py
@@ -136,6 +136,15 @@
         self.play(scenario)
         self.assertEqual([], self.handler.bodies)
 
+    def test_a_length_of_thousands_of_digits_is_refused_like_any_other_over_the_limit(self) -> None:
+        self.limits = CallerLimits(max_header_bytes=16_000)
+
+        async def scenario() -> None:
+            reader = await self.send(HEADERS + b"Content-Length: " + b"9" * 6_000 + b"\r\n\r\n")
+            self.assertEqual(413, await status_of(reader))
+
+        self.play(scenario)
+
     def test_a_chunked_body_is_refused_once_it_is_over_the_limit(self) -> None:
         async def scenario() -> None:
             chunk = b"%x\r\n%s\r\n" % (MAX_BODY_BYTES // 2 + 1, b"b" * (MAX_BODY_BYTES // 2 + 1))
