--- a/src/zincvale/transport/peer_server.py
+++ b/src/zincvale/transport/peer_server.py
@@ -141,7 +141,7 @@
         self._accepts_gzip = GZIP in headers.get("Accept-Encoding", "")
 
     def data_received(self, chunk: bytes) -> None:
-        """Store a part of the body; the HTTP server limits its size before decompression."""
+        """Store a part of the body; the HTTP server limits its size after decompression."""
         self._body.append(chunk)
 
     def finish(self) -> None:
