Review case 8: a model declared smaller, then restarted cores: servers fall

Tried: a valid change makes a model smaller that servers hold, all core processes are killed and back within 0.5 s, another model is asked for.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,132 +1,156 @@
-"""Front machines leave as planned, one after the other, each while it answers a long stream; the
-operator then gives two orders: a valid change of the configuration and the evacuation of a zone."""
+"""A configuration declares a model smaller that servers hold; all core processes are killed; then
+another model is asked for."""
+
+from __future__ import annotations
 
 import asyncio
+import json
 import os
-import signal
 import sys
-import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
-
-from rig import (ZONES, LookupServer, Operator, PlatformList, Rig, ask, configuration, finish, log,
-                 route, service, trouble)
-
-EXTRA_NODES = 8
-LEAVING = 7
-"""How many of the eight machines without a disk leave; the three with a disk stay."""
-GAP_S = 1.0
-EVENTS, EVENT_S = 57, 0.2
-"""A stream of 57 events, each 0.2 s after the one before."""
-DEADLINE_MS = 15000
-STREAMS = os.environ.get("STREAMS", "1") == "1"
-"""Whether each machine that leaves is in the middle of a stream, to compare."""
-WATCH_S = float(os.environ.get("WATCH_S", "30"))
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "common"))
 
+from fleet import CONTACT_S, CONTROL, ZONES, Run, configuration  # noqa: E402
 
-class StreamServer(LookupServer):
-    """Runs short requests as a lookup server does, and answers /chat/ with a stream in chunks."""
+SIZES_MB = {f"m{number}": 72_700.0 for number in range(1, 6)} | {"m6": 50_000.0}
+"""Sizes of the weights that the servers hold or load."""
+NEW_M3_MB = 20_000.0
+"""Size of m3 in configuration 2; the servers hold the larger weights until they load it anew."""
+LIMIT_MB, LOAD_S = 220_000.0, 0.81
+HELD_AT_START = (("m1", "m2", "m3"), ("m1", "m2", "m4"), ("m1", "m2", "m5"))
+DOWN_S = 0.5
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+HELD, BROKEN, NOT_RUN = 0, 1, 2
 
-    async def work(self, request, headers, writer):
-        if headers.get("wants") != "stream":
-            await super().work(request, headers, writer)
-            return
-        writer.write((
-            f"HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nServer-Signature: {self.id}.{request}\r\n"
-            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
-        for number in range(1, EVENTS + 1):
-            event = f"id: {number}\ndata: piece {number} of {EVENTS}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await asyncio.sleep(EVENT_S)
-            if writer.is_closing():
-                raise OSError("the caller has gone")
-        writer.write(b"0\r\n\r\n")
 
-
-async def chat(rig, machine, request):
-    """Read one stream until its end, as a client would."""
-    host, _, port = machine.front.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    writer.write((
-        f"POST /chat/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: {request}\r\n"
-        f"Deadline-Ms: {DEADLINE_MS}\r\nWants: stream\r\nContent-Length: 2\r\n\r\nhi").encode())
-    began, body = time.monotonic(), b""
-    try:
-        while b"\r\n0\r\n\r\n" not in body:
-            data = await asyncio.wait_for(reader.read(65536), 16)
-            if not data:
-                break
-            body += data
-    except (OSError, asyncio.TimeoutError) as error:
-        log(rig.record, "client", request, type(error).__name__)
-    writer.close()
-    log(rig.record, "client", request, machine.name, body.count(b"id: "), "events of", EVENTS,
-        f"in {time.monotonic() - began:.1f} s")
+def with_models(version: int, models: tuple[str, ...]) -> bytes:
+    """Return a configuration whose engine lists `models`."""
+    decoded = json.loads(configuration(version))
+    decoded["routes"].append(
+        {
+            "name": "r-chat",
+            "host": "quote.example",
+            "pathPrefix": "/chat/",
+            "kind": "streaming",
+            "timeoutMs": 15000,
+            "targetLatencyMs": 600,
+            "priority": 2,
+            "service": "lm-pool",
+            "attempts": 1,
+            "stickySessions": True,
+            "resumable": False,
+            "gapAimMs": 300,
+        }
+    )
+    engine = {
+        "slots": 64,
+        "cacheTokens": 106716,
+        "tokenCacheBytes": 163840,
+        "linkMbps": 550000.0,
+        "stride": 3,
+        "models": [
+            {
+                "name": model,
+                "weightsMb": NEW_M3_MB if model == "m3" and version > 1 else SIZES_MB[model],
+                "loadS": LOAD_S,
+                "adapters": 0,
+                "adapterMb": 12.0,
+            }
+            for model in models
+        ],
+        "weightsMb": LIMIT_MB,
+        "adapterSlots": 8,
+        "loadsPerS": 2.8,
+    }
+    decoded["services"].append(
+        {
+            "name": "lm-pool",
+            "healthPath": "/health",
+            "connectionLimit": 390,
+            "protocol": "h1",
+            "tls": False,
+            "coldStartS": 3.0,
+            "coldPerS": 8.0,
+            "engine": engine,
+        }
+    )
+    return json.dumps(decoded).encode()
 
 
-async def leave(rig, machine):
-    """SIGTERM, and SIGKILL after the grace that the platform gives; return when it has ended."""
-    machine.signal("node", signal.SIGTERM)
-    process, began = machine.processes["node"], time.monotonic()
-    while process.poll() is None and time.monotonic() - began < rig.bounds["graceS"]:
+async def ask_for(run: Run, seconds: float, models: tuple[str, ...]) -> list[int]:
+    """Send 20 requests a second for `models` in turn; return their statuses."""
+    tasks, number, until = [], 0, run.record.now() + seconds
+    nodes = list(run.fleet.machines.values())
+    while run.record.now() < until:
+        asked = run.clients.ask(
+            nodes[number % len(nodes)], 6.0, "/chat/q", models[number % len(models)]
+        )
+        tasks.append(asyncio.ensure_future(asked))
+        number += 1
         await asyncio.sleep(0.05)
-    log(rig.record, machine.name, "ended" if process.poll() is not None else "is still running",
-        f"{time.monotonic() - began:.1f} s after SIGTERM, exit status", process.poll())
-    machine.signal("node", signal.SIGKILL)
+    return await asyncio.gather(*tasks)
 
 
-async def main(rig):
-    platform = PlatformList(rig)
-    await platform.listen(rig.list_address)
-    servers = [StreamServer(rig, f"s{n}", ZONES[n], n + 1) for n in range(3)]
-    for server in servers:
-        await server.listen(server.address)
-    rig.servers += [platform, *servers]
-    platform.publish([server.entry() for server in servers])
-    for machine in rig.machines:
-        if machine.has_core:
-            machine.start("core", bootstrap=True)
-        machine.start("node", bootstrap=True)
-    operator = Operator(rig)
-    routes = [route("r-one", "/one/"), route(
-        "r-chat", "/chat/", kind="streaming", timeout_ms=DEADLINE_MS, gapAimMs=300)]
-    body = configuration(5, routes, [service()])
-    status, _ = await operator.order("PUT", "/v1/configuration", body, 0, 20, "first")
-    await asyncio.sleep(8)
-    served = [await ask(rig, machine, number) for number, machine in enumerate(rig.machines)]
-    log(rig.record, "served", served.count(200), "of", len(served))
-    if status != 200 or served.count(200) < len(served):
-        return 2
-    leaving = [machine for machine in rig.machines if not machine.has_core][:LEAVING]
-    tasks = []
-    for number, machine in enumerate(leaving):
-        if STREAMS:
-            tasks.append(asyncio.ensure_future(chat(rig, machine, f"chat{number}")))
-        await asyncio.sleep(GAP_S / 2)
-        if trouble():
-            tasks.append(asyncio.ensure_future(leave(rig, machine)))
-        await asyncio.sleep(GAP_S / 2)
-    await asyncio.gather(*tasks)
-    await asyncio.sleep(rig.bounds["contactMs"] / 1000)
-    bound_s = rig.bounds["acknowledgeMs"] / 1000
-    body = configuration(7, routes[:1], [service()])
-    change, evacuation = await asyncio.gather(
-        operator.order("PUT", "/v1/configuration", body, 5, WATCH_S, "change"),
-        operator.order("POST", f"/v1/evacuate/{ZONES[0]}", None, None, WATCH_S, "evacuation"))
-    for name, (status, waited) in (("change", change), ("evacuation", evacuation)):
-        log(rig.record, name, "answered", status, f"after {waited:.1f} s, bound {bound_s} s")
-    for number, machine in enumerate(rig.machines):
-        if machine.processes["node"].poll() is None:
-            await ask(rig, machine, 100 + number)
-    in_time = [status == 200 and waited <= bound_s for status, waited in (change, evacuation)]
-    return 0 if all(in_time) else 1
+async def play(run: Run) -> int:
+    """Play the case; return the exit status."""
+    fleet, record, operator = run.fleet, run.record, run.operator
+    for zone, models in zip(ZONES, HELD_AT_START, strict=True):
+        server = run.servers.add("lm-pool", zone)
+        server.sizes_mb, server.limit_mb, server.load_s = SIZES_MB, LIMIT_MB, LOAD_S
+        server.weights_mb = {model: SIZES_MB[model] for model in models}
+    for zone in ZONES:
+        run.servers.add("quote-api", zone)
+    await run.servers.listen()
+    machines = [fleet.add(number, ZONES[number % 3], has_disk=number < 3) for number in range(11)]
+    fleet.seeds = [f"{machine.ip}:{CONTROL}" for machine in machines[:3]]
+    for machine in machines:
+        fleet.start(machine, bootstrap=True)
+    for version, models in ((1, ("m1", "m2", "m3", "m4", "m5")), (2, ("m1", "m2", "m3", "m4", "m5", "m6"))):
+        headers = {"If-Match": str(version - 1), "Content-Type": "application/json"}
+        body = with_models(version, models)
+        label = f"configuration {version}"
+        taken = await operator.order("PUT", "/v1/configuration", headers, body, 30.0, label=label)
+        if taken is None:
+            return NOT_RUN
+        if version > 1:
+            # Loading brings the newest weights; what a server holds stays as it is until then.
+            for server in run.servers.servers:
+                if server.sizes_mb:
+                    server.sizes_mb = SIZES_MB | {"m3": NEW_M3_MB}
+        if version == 1:
+            await ask_for(run, 8.0, ("m1", "m2", "m1", "m2", "m3", "m4", "m5"))
+    await asyncio.sleep(CONTACT_S)
+    if TROUBLE:
+        fleet.kill_cores()
+        await asyncio.sleep(DOWN_S)
+        fleet.start_cores()
+    await asyncio.sleep(8.0)
+    statuses = await ask_for(run, 12.0, ("m1", "m2", "m1", "m2", "m6", "m3", "m4", "m5"))
+    fallen = [server.instance for server in run.servers.servers if server.has_fallen]
+    record.line(
+        f"fallen servers: {fallen}; answered with 200: {statuses.count(200)}, refused with 503: "
+        f"{statuses.count(503)}, other or none: {len(statuses) - statuses.count(200) - statuses.count(503)}"
+    )
+    if fleet.ended_by_themselves() or not statuses.count(200):
+        return NOT_RUN
+    if fallen:
+        record.line("BROKEN: a server was ordered to load more than weightsMb holds")
+    return BROKEN if fallen else HELD
 
 
-if __name__ == "__main__":
-    rig = Rig(Path(__file__).parent, extra_nodes=EXTRA_NODES)
-    verdict = 2
+async def main() -> int:
+    """Run the case and end every process."""
+    run = Run(HERE)
     try:
-        verdict = asyncio.run(asyncio.wait_for(main(rig), 112))
+        return await play(run)
+    except Exception as error:  # noqa: BLE001
+        run.record.line(f"could not run: {error!r}")
+        return NOT_RUN
     finally:
-        finish(rig, verdict)
+        run.close()
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
