--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -109,7 +109,7 @@
             "zones": {zone: "region-1" for zone in ZONES},
             "listen": listen,
             "limits": {"cpuShare": 0.968, "cores": 2, "memoryMb": 300, "fileDescriptors": 4100,
-                       "linkMbps": 1000.0, "diskMb": 64},
+                       "linkMbps": 1000.0, "diskMb": 64, **rig.limits.get(role, {})},
             "faultTolerance": {"machines": 1, "zones": 1, "regions": 0},
             "bounds": rig.bounds,
             "cloud": {"address": rig.list_address, "ratePerS": 44.0, "duties": [], "lagMs": 800},
@@ -154,6 +154,7 @@
         self.net, self.base = free_base()
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.bounds = {**BOUNDS, **(bounds or {})}
+        self.limits = {}
         self.machines = [Machine(self, 1, ZONES[index % 3], True) for index in range(cores)]
         self.machines += [Machine(self, 2 + index // 3, ZONES[index % 3], False)
                           for index in range(extra_nodes)]
