--- a/review/4/leave.py
+++ b/review/4/leave.py
@@ -125,7 +125,6 @@
 
 if __name__ == "__main__":
     rig = Rig(Path(__file__).parent, extra_nodes=EXTRA_NODES)
-    rig.record.path = Path(__file__).with_name("leave-record.txt")
     rig.record.path = rig.record.path.with_name("record-leave.txt")
     verdict = 2
     try:
--- a/review/4/start.py
+++ b/review/4/start.py
@@ -56,7 +56,7 @@
 
 if __name__ == "__main__":
     rig = Rig(Path(__file__).parent)
-    rig.record.path = Path(__file__).with_name("start-record.txt")
+    rig.record.path = Path(__file__).with_name("record-start.txt")
     verdict = 2
     try:
         verdict = asyncio.run(asyncio.wait_for(main(rig), 110))
