--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,7 +2,6 @@
 nodes, and later the cores, grow beyond the memory of their machines and are killed."""
 
 import asyncio
-import os
 import signal
 import sys
 import time
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,6 @@
 """A server crashes in the middle of its event streams, which end with their connections."""
 
 import asyncio
-import os
 import random
 import signal
 import subprocess
