--- a/src/zincvale/coordination/config.py
+++ b/src/zincvale/coordination/config.py
@@ -5,11 +5,27 @@
 
 from __future__ import annotations
 
+import enum
+
 import attrs
 
 from zincvale.model.identifiers import Address, MemberId, ZoneName
 
 
+class ReadinessRule(enum.Enum):
+    """When a node is ready, and what an acknowledgement therefore waits for.
+
+    It must be the same in all processes of a cluster (docs/design-coordination.md, "Readiness
+    rules").
+    """
+
+    LEASE = "lease"
+    """A node is ready only with a lease. An acknowledgement waits for all live leases."""
+    LEASE_OR_EVIDENCE = "lease-or-evidence"
+    """A node that reaches no core is also ready with evidence from a majority of the registered
+    nodes. An acknowledgement therefore waits for a majority of the registered nodes as well."""
+
+
 @attrs.frozen
 class Timings:
     """Timeouts and intervals of the machines, in seconds; the same in all processes of a cluster.
@@ -110,6 +126,7 @@
     """Singleton roles for which this process is a candidate."""
     group_size: int = 3
     """Number of replicas up to which a group grows while there are cores without a vote."""
+    readiness: ReadinessRule = ReadinessRule.LEASE_OR_EVIDENCE
     timings: Timings = Timings()
 
 
@@ -129,4 +146,5 @@
     """Peer addresses that are used for first contact only."""
     topics: tuple[str, ...] = ("directory", "moves")
     """Ephemeral topics that the node receives."""
+    readiness: ReadinessRule = ReadinessRule.LEASE_OR_EVIDENCE
     timings: Timings = Timings()
--- a/src/zincvale/coordination/delivery/applied_versions.py
+++ b/src/zincvale/coordination/delivery/applied_versions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from zincvale.coordination.config import ReadinessRule
 from zincvale.coordination.core.context import CoreContext
 from zincvale.coordination.core.messages import AppliedVersionsReport
 from zincvale.coordination.delivery.rollout import ChosenChange, QuorumRules, RolloutTracker
@@ -47,7 +48,7 @@
             grantors=self._context.replica_sets.grantors(),
             config_version=self._context.replica_sets.version,
             registry_version=self._context.chosen_version(REGISTRY_KEY),
-            node_sets=self._quorum_sets(),
+            node_sets=self._confirming_sets(),
         )
         return tracker.update(rules)
 
@@ -105,6 +106,12 @@
             config_version=self._context.replica_sets.version,
         )
 
+    def _confirming_sets(self) -> list[list[str]]:
+        """Return the sets of nodes of which a majority must confirm; none if leases are enough."""
+        if self._context.config.readiness is ReadinessRule.LEASE:
+            return []
+        return self._quorum_sets()
+
     def _quorum_sets(self) -> list[list[str]]:
         table = self._context.values.get(REGISTRY_KEY)
         if table is None:
--- a/src/zincvale/coordination/delivery/rollout.py
+++ b/src/zincvale/coordination/delivery/rollout.py
@@ -3,9 +3,9 @@
 A version is rolled out when a majority of the granting cores report that every node with a live
 lease has applied it, and a majority of the registered nodes have confirmed it
 (docs/design-coordination.md, "Acknowledgement"). By the first condition, no node serves on a lease
-without the version. By the second, no node without a lease serves without it either: a node that
-reaches no core serves only with evidence from a majority of the registered nodes, and a node that
-gave evidence does not confirm.
+without the version. By the second, no node is ready by evidence without it either: a node that
+reaches no core is ready only with evidence from a majority of the registered nodes, and a node that
+gave evidence does not confirm. Where nodes are ready with a lease only, no node has to confirm.
 
 While a core reports newer replica sets or a newer registry than those used here, no version becomes
 rolled out, because majorities of outdated sets prove nothing.
@@ -43,7 +43,8 @@
     grantors : the cores that grant leases.
     config_version : the version of the replica sets that define `grantors`.
     registry_version : the version of the registry that defines `node_sets`.
-    node_sets : the sets of registered nodes; a majority of each one must confirm.
+    node_sets : the sets of registered nodes; a majority of each one must confirm. There is none
+        where nodes are ready with a lease only.
     """
 
     grantors: ReplicaConfig
--- a/src/zincvale/coordination/node/machine.py
+++ b/src/zincvale/coordination/node/machine.py
@@ -12,7 +12,7 @@
 
 from zincvale.coordination import log_events
 from zincvale.coordination.changes import ChangeNotifications, KeyView, TopicView
-from zincvale.coordination.config import NodeConfig
+from zincvale.coordination.config import NodeConfig, ReadinessRule
 from zincvale.coordination.core.messages import Heartbeat, RequestCores
 from zincvale.coordination.delivery.long_poll_client import POLL_TOKEN_PREFIX, LongPollClient
 from zincvale.coordination.delivery.long_poll_server import LongPollServer, delta_message
@@ -158,6 +158,9 @@
                 self._lease.discard_grants()
                 self._renewal_client.abandon_call()
                 self._partition_guard.discard_evidence()
+                # Nodes that were frozen together could otherwise take each other's evidence for an
+                # outage of the cores, which may have acknowledged newer versions meanwhile.
+                self._had_lease = self._had_lease and self._serves_on_evidence()
                 self._poll_client.restart(None)
                 return [Log(log_events.CLOCK_JUMPED, {"gap_s": round(gap_s, 3)})]
         return []
@@ -169,7 +172,7 @@
         count as confirmed, so the lease expires instead.
         """
         self._has_left = True
-        if not self._partition_guard.may_confirm(now):
+        if self._serves_on_evidence() and not self._partition_guard.may_confirm(now):
             return []
         released = LeaseReleased(self._config.member, self._config.incarnation)
         return [Send(core, released) for core in self._lease.grantors()]
@@ -183,7 +186,7 @@
                 return self._handle_granted(MemberId(core), sender, granted, now)
             case LeaseRedirect(cores, _, can_grant):
                 self._lease.add_cores(cores)
-                if can_grant and not self._has_lease(now):
+                if can_grant and not self.has_lease(now):
                     return self._renew(now)
             case _:
                 return self._handle_peer_message(sender, message, now)
@@ -194,7 +197,7 @@
         match message:
             case RelayedGrant(node, _, _):
                 return [Send(MemberId(node), message)]
-            case RelayRenewal(renewal) if self._has_lease(now):
+            case RelayRenewal(renewal) if self.has_lease(now):
                 return [Send(core, RelayedRenewal(renewal)) for core in self._lease.grantors()]
             case RenewLease() | Heartbeat() | RequestCores() if self._lease.cores:
                 return [Send(sender, LeaseRedirect(list(self._lease.cores.values()), "a node"))]
@@ -219,12 +222,12 @@
     ) -> list[Effect]:
         self._lease.handle_granted(core, granted)
         self._poll_client.on_newest_versions(responder, granted.chosen, now)
-        if self._has_lease(now):
+        if self.has_lease(now):
             self._had_lease = True
         return list(self._poll_client.tick(self._poll_hosts(now), now))
 
     def _handle_tick(self, now: float) -> list[Effect]:
-        self._poll_server.is_isolated = not self._has_lease(now)
+        self._poll_server.is_isolated = not self.has_lease(now)
         hosts = self._poll_hosts(now)
         self._poll_client.abandon_unresponsive_host(self._responsive_cores(now) or hosts, now)
         effects: list[Effect] = list(self._poll_client.tick(hosts, now))
@@ -365,8 +368,8 @@
 
     # --- freshness ------------------------------------------------------------------------
 
-    def _has_lease(self, now: float) -> bool:
-        return now < self._lease.valid_until(self._poll_client.applied_versions())
+    def _serves_on_evidence(self) -> bool:
+        return self._config.readiness is ReadinessRule.LEASE_OR_EVIDENCE
 
     def _is_lease_expiring(self, now: float) -> bool:
         """Whether the lease has expired, or is about to because renewals get no responses."""
@@ -397,15 +400,26 @@
 
     # --- queries --------------------------------------------------------------------------
 
+    def has_lease(self, now: float) -> bool:
+        """Whether the lease is valid for the versions that this node has applied."""
+        return now < self._lease.valid_until(self._poll_client.applied_versions())
+
+    def has_evidence(self, now: float) -> bool:
+        """Whether a majority of the registered nodes reaches no core and has applied nothing newer.
+
+        Under `ReadinessRule.LEASE`, a newer version may be acknowledged meanwhile.
+        """
+        if not self._had_lease:
+            return False
+        return now < self._partition_guard.valid_until(self._registry_rows(), now)
+
     def fresh(self, now: float) -> bool:
         """Whether no version newer than those applied here can have been acknowledged."""
         if self._has_left:
             return False
-        if self._has_lease(now):
+        if self.has_lease(now):
             return True
-        if not self._had_lease:
-            return False
-        return now < self._partition_guard.valid_until(self._registry_rows(), now)
+        return self._serves_on_evidence() and self.has_evidence(now)
 
     def ready(self, now: float) -> bool:
         """Whether the node may accept new work: it is fresh and has received a poll response."""
--- a/src/zincvale/coordination/node/partition_guard.py
+++ b/src/zincvale/coordination/node/partition_guard.py
@@ -19,6 +19,9 @@
   few requests each.
 - A restarted process does not know which evidence its former run gave. It assumes that some was
   given until the process started.
+
+All this holds under `ReadinessRule.LEASE_OR_EVIDENCE`. Under `ReadinessRule.LEASE`, evidence only
+says that most nodes reach no core.
 """
 
 from __future__ import annotations
--- a/src/zincvale/daemons/core_assembly.py
+++ b/src/zincvale/daemons/core_assembly.py
@@ -17,7 +17,7 @@
 from tornado.ioloop import PeriodicCallback
 
 from zincvale.coordination.changes import Reducer
-from zincvale.coordination.config import CoreConfig, InitialCore, Timings
+from zincvale.coordination.config import CoreConfig, InitialCore, ReadinessRule, Timings
 from zincvale.coordination.core.machine import CoreMachine
 from zincvale.coordination.replication.replica_sets import INTENT_KEY
 from zincvale.daemons.control_api_handler import ControlApiServer, OperatorApi
@@ -55,6 +55,7 @@
     recover : with `bootstrap`, whether every disk was lost: the nodes then return the control state
         that they store.
     timings : durations of the coordination machine.
+    readiness : when the nodes of this deployment are ready.
     group_size : number of replicas of the control state.
     tick_interval_ms : interval between two ticks of the coordination machine.
     """
@@ -62,6 +63,7 @@
     bootstrap: bool
     recover: bool = False
     timings: Timings = attrs.field(factory=Timings)
+    readiness: ReadinessRule = ReadinessRule.LEASE_OR_EVIDENCE
     group_size: int = DEFAULT_GROUP_SIZE
     tick_interval_ms: float = TICK_INTERVAL_MS
 
@@ -181,6 +183,7 @@
         roles=CORE_ROLES,
         timings=options.timings,
         group_size=options.group_size,
+        readiness=options.readiness,
     )
 
 
--- a/src/zincvale/daemons/forwarding_core.py
+++ b/src/zincvale/daemons/forwarding_core.py
@@ -23,7 +23,7 @@
     Order,
     StatusReport,
 )
-from zincvale.coordination.config import Timings
+from zincvale.coordination.config import ReadinessRule, Timings
 from zincvale.coordination.replication.replica_sets import INTENT_KEY
 from zincvale.daemons.core_assembly import CoreAssembly, CoreOptions
 from zincvale.daemons.demand_translation import to_demand_reported
@@ -95,6 +95,7 @@
             CoreOptions(
                 bootstrap=bootstrap,
                 timings=timings,
+                readiness=ReadinessRule.LEASE,
                 group_size=2 * forwarding.cores_lost_at_once + 1,
                 tick_interval_ms=MACHINE_TICK_MS,
             ),
--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -11,7 +11,7 @@
 from zincvale.controlplane.directory.row_codec import LISTED_TOPIC, DirectoryDecoder
 from zincvale.controlplane.documents.rows import DocumentDecoder
 from zincvale.coordination.changes import ChangeNotifications
-from zincvale.coordination.config import Timings
+from zincvale.coordination.config import ReadinessRule, Timings
 from zincvale.coordination.replication.replica_sets import INTENT_KEY
 from zincvale.daemons.evacuation_log import log_evacuations
 from zincvale.daemons.http_application import application_without_access_log
@@ -84,11 +84,15 @@
             topics=TOPICS,
             services_tick_ms=SERVICES_TICK_MS,
             timings=timings,
+            readiness=ReadinessRule.LEASE,
             tracing=TracingConfig(node_traces_per_s=NODE_TRACES_PER_S),
         )
         self._node = NodeAssembly(settings, options, self)
         self.process = self._node.process
-        self._lease_watch = LeaseWatch(lambda: self._node.machine.fresh(self._node.clock()))
+        machine, clock = self._node.machine, self._node.clock
+        self._lease_watch = LeaseWatch(
+            lambda: machine.has_lease(clock()), lambda: machine.has_evidence(clock())
+        )
         self._build_service(dialect)
 
     def run(self) -> None:
--- a/src/zincvale/daemons/node_assembly.py
+++ b/src/zincvale/daemons/node_assembly.py
@@ -14,7 +14,7 @@
 from tornado.ioloop import PeriodicCallback
 
 from zincvale.coordination.changes import ChangeNotifications
-from zincvale.coordination.config import NodeConfig, Timings
+from zincvale.coordination.config import NodeConfig, ReadinessRule, Timings
 from zincvale.coordination.node.machine import NodeMachine
 from zincvale.daemons.process import Drain, build_process
 from zincvale.model.identifiers import Address, MemberId, ZoneName
@@ -43,12 +43,14 @@
     topics : ephemeral topics that the node follows.
     services_tick_ms : interval between two ticks of the services.
     timings : durations of the coordination machine.
+    readiness : when the nodes of this deployment are ready.
     tracing : tunables of tracing.
     """
 
     topics: tuple[str, ...]
     services_tick_ms: float
     timings: Timings = attrs.field(factory=Timings)
+    readiness: ReadinessRule = ReadinessRule.LEASE_OR_EVIDENCE
     tracing: TracingConfig = attrs.field(factory=TracingConfig)
 
 
@@ -147,5 +149,6 @@
         peer_address=Address(settings.peer_address),
         seeds=tuple(Address(seed) for seed in settings.seeds),
         topics=options.topics,
+        readiness=options.readiness,
         timings=options.timings,
     )
--- a/src/zincvale/dataplane/forwarding/lease_watch.py
+++ b/src/zincvale/dataplane/forwarding/lease_watch.py
@@ -3,7 +3,7 @@
 Acknowledged changes are known to be applied by nodes with a lease only. A lease that lapsed for a
 moment is renewed soon, and with it comes the newest document, so requests wait for it. A node that
 is partitioned from the cores serves on by its last document after that wait, because its callers
-have no other node.
+have no other node. It does not wait while most nodes reach no core: no renewal comes soon then.
 """
 
 from __future__ import annotations
@@ -41,10 +41,14 @@
     Parameters
     ----------
     has_lease : whether this node has a valid lease now.
+    are_cores_gone : whether a majority of the nodes is known to reach no core now.
     """
 
-    def __init__(self, has_lease: Callable[[], bool]) -> None:
+    def __init__(
+        self, has_lease: Callable[[], bool], are_cores_gone: Callable[[], bool] = lambda: False
+    ) -> None:
         self.has_lease = has_lease
+        self._are_cores_gone = are_cores_gone
         self._lost_at: float | None = None
         """When the present time without a lease was first observed."""
         self._period: UnleasedPeriod | None = None
@@ -56,7 +60,7 @@
             return False
         if self._lost_at is None:
             self._lost_at = now
-        return now - self._lost_at < LEASE_WAIT_S
+        return now - self._lost_at < LEASE_WAIT_S and not self._are_cores_gone()
 
     def record_request(self, version: int, now: float) -> None:
         """Count a request that begins by version `version` of the document."""
--- a/src/zincvale/simulator/cluster/cluster.py
+++ b/src/zincvale/simulator/cluster/cluster.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from zincvale.coordination.config import CoreConfig, InitialCore, NodeConfig
+from zincvale.coordination.config import CoreConfig, InitialCore, NodeConfig, ReadinessRule
 from zincvale.coordination.core.machine import CoreMachine
 from zincvale.coordination.node.machine import NodeMachine
 from zincvale.coordination.registers.recovered_state import RecoveredState
@@ -51,6 +51,7 @@
     nodes : number of data-plane nodes.
     roles : singleton roles for which every core is a candidate.
     node_machine : class of the state machine that node processes run.
+    readiness : when nodes are ready, and so what acknowledgements wait for.
     """
 
     def __init__(
@@ -60,13 +61,16 @@
         nodes: int,
         roles: tuple[str, ...],
         node_machine: type[NodeMachine] = NodeMachine,
+        readiness: ReadinessRule = ReadinessRule.LEASE_OR_EVIDENCE,
     ) -> None:
         self.simulation = simulation
         self.roles = roles
+        self.readiness = readiness
         self._node_machine = node_machine
         self.cores = list(INITIAL_CORES)
         """Core members of the cluster, including those that are currently down."""
         self.nodes = [f"{ProcessKind.NODE.value}-{index + 1}" for index in range(nodes)]
+        self._last_node_number = nodes
         self.machines: dict[str, Machine] = {}
         self._random = random_source
         for member in [*self.cores, *self.nodes]:
@@ -136,6 +140,16 @@
         self.cores.append(replacement)
         return replacement
 
+    def replace_node(self, member: str) -> str:
+        """Remove a node permanently; return the name of its replacement."""
+        self.kill(member)
+        self.machines.pop(member, None)
+        self.nodes.remove(member)
+        self._last_node_number += 1
+        replacement = f"{ProcessKind.NODE.value}-{self._last_node_number}"
+        self.nodes.append(replacement)
+        return replacement
+
     # --- quorum of the surviving disks ----------------------------------------------------
 
     def has_quorum(self) -> bool:
@@ -216,6 +230,7 @@
             bootstrap=is_first,
             initial_cores=initial if is_first else (),
             roles=self.roles,
+            readiness=self.readiness,
         )
 
     def _create_node(self, machine: Machine) -> Process:
@@ -229,6 +244,7 @@
             api_address=self.address(member),
             peer_address=self.address(member),
             seeds=self._seeds(),
+            readiness=self.readiness,
         )
         now = machine.clock.local(self.simulation.now)
         return self._create_process(
--- a/src/zincvale/simulator/cluster/faults.py
+++ b/src/zincvale/simulator/cluster/faults.py
@@ -123,6 +123,13 @@
         _schedule_start(cluster, cluster.replace_core(member), step)
 
 
+def replace_node(_operators: Operators, cluster: Cluster, step: Step) -> None:
+    """Remove nodes permanently and start new ones at new addresses after `for_s`."""
+    for member in resolve_members(cluster, step.members):
+        if member in cluster.nodes:
+            _schedule_start(cluster, cluster.replace_node(member), step)
+
+
 def lose_every_disk(_operators: Operators, cluster: Cluster, step: Step) -> None:
     """Make every core lose its disk at once; all restart in recovery mode after `for_s`."""
     simulation = cluster.simulation
@@ -184,6 +191,7 @@
     "lose-disk": lose_disk,
     "lose-disk-on-acknowledgement": lose_disk_on_acknowledgement,
     "replace": replace_core,
+    "replace-node": replace_node,
     "lose-every-disk": lose_every_disk,
     "tear": tear_newest_file,
     "fill-disk": fill_disk,
--- a/src/zincvale/simulator/mutations/leases.py
+++ b/src/zincvale/simulator/mutations/leases.py
@@ -7,7 +7,9 @@
 from typing import Any
 from unittest import mock
 
+from zincvale.coordination.config import ReadinessRule
 from zincvale.coordination.delivery import rollout
+from zincvale.coordination.delivery.applied_versions import AppliedVersions
 from zincvale.coordination.delivery.rollout import RolloutTracker
 from zincvale.coordination.election.leader_lease import LeaderLeaseGrantor, LeaderLeaseHolder
 from zincvale.coordination.election.messages import LeadershipGranted
@@ -16,6 +18,7 @@
 from zincvale.coordination.leases.lease_grantor import LeaseGrantor
 from zincvale.coordination.leases.member_lease import MemberLeaseHolder
 from zincvale.coordination.node import partition_guard
+from zincvale.coordination.node.machine import NodeMachine
 from zincvale.model.machine import Send
 from zincvale.simulator.mutations.registry import mutation
 
@@ -106,6 +109,30 @@
         yield
 
 
+@mutation(
+    "evidence-without-registry",
+    "nodes are ready on evidence although no registry majority must confirm",
+    ReadinessRule.LEASE,
+)
+@contextlib.contextmanager
+def evidence_without_registry() -> Iterator[None]:
+    """Nodes without a lease count as ready, while changes are acknowledged by leases alone."""
+    with mock.patch.object(NodeMachine, "_serves_on_evidence", lambda self: True):
+        yield
+
+
+@mutation(
+    "registry-majority-with-leases",
+    "acknowledgements wait for a registry majority although nodes are ready with a lease only",
+    ReadinessRule.LEASE,
+)
+@contextlib.contextmanager
+def registry_majority_with_leases() -> Iterator[None]:
+    """Nothing is acknowledged any more once most nodes are lost for good."""
+    with mock.patch.object(AppliedVersions, "_confirming_sets", AppliedVersions._quorum_sets):
+        yield
+
+
 @mutation("role-without-margin", "the leader of a role acts for twice as long as its lease")
 @contextlib.contextmanager
 def role_without_margin() -> Iterator[None]:
--- a/src/zincvale/simulator/schedules/directed.py
+++ b/src/zincvale/simulator/schedules/directed.py
@@ -197,6 +197,46 @@
     )
 
 
+def most_nodes_cut(core_index: int) -> tuple[Step, ...]:
+    """Most nodes are partitioned together from all other members, while changes continue."""
+    return (
+        _change(0.5, CORES[core_index]),
+        Step(2.0, "cut", _NODES[:2], (), 8.0),
+        _change(5.0, CORES[core_index]),
+        _change(6.0, _other_cores(core_index)[0]),
+    )
+
+
+def most_nodes_frozen(core_index: int) -> tuple[Step, ...]:
+    """Most nodes are frozen together, while changes continue, and wake together."""
+    return (
+        _change(0.5, CORES[core_index]),
+        Step(2.0, "freeze", _NODES[1:], (), 8.0),
+        _change(5.0, CORES[core_index]),
+        _change(9.9, _other_cores(core_index)[0]),
+    )
+
+
+def most_nodes_lost(core_index: int) -> tuple[Step, ...]:
+    """Most nodes are lost for good, and every core is killed before they are replaced."""
+    return (
+        _change(0.5, CORES[core_index]),
+        Step(1.0, "replace-node", _NODES[:2], (), 4.0),
+        Step(2.0, "kill", CORES, (), 0.3),
+        _change(6.0, CORES[core_index]),
+    )
+
+
+def every_node_lost(core_index: int) -> tuple[Step, ...]:
+    """Every node is lost for good, and none is replaced before changes continue."""
+    return (
+        _change(0.5, CORES[core_index]),
+        Step(1.0, "replace-node", _NODES, (), 9.0),
+        _change(1.1, CORES[core_index]),
+        _change(4.0, _other_cores(core_index)[0]),
+    )
+
+
 SCENARIOS: dict[str, Scenario] = {
     "cut-holder-and-restarted-grantors": cut_holder_and_restarted_grantors,
     "cut-node-and-restarted-cores": cut_node_and_restarted_cores,
@@ -212,7 +252,15 @@
     "every-disk-lost": every_disk_lost,
     "power-lost-everywhere": power_lost_everywhere,
     "orders-resent-to-new-owners": orders_resent_to_new_owners,
+    "most-nodes-cut": most_nodes_cut,
+    "most-nodes-frozen": most_nodes_frozen,
+}
+NODE_LOSS_SCENARIOS: dict[str, Scenario] = {
+    "most-nodes-lost": most_nodes_lost,
+    "every-node-lost": every_node_lost,
 }
+"""Scenarios for clusters whose nodes are ready with a lease only (`ReadinessRule.LEASE`)."""
+LEASE_SCENARIOS: dict[str, Scenario] = SCENARIOS | NODE_LOSS_SCENARIOS
 
 
 def directed_schedules(name: str) -> list[Schedule]:
@@ -223,7 +271,7 @@
     schedules = []
     for index in range(len(CORES) * SEEDS_PER_CORE):
         core_index = index % len(CORES)
-        steps = SCENARIOS[name](core_index)
+        steps = LEASE_SCENARIOS[name](core_index)
         length_s = max(step.at_s + step.for_s for step in steps) + 0.5
         ordered = tuple(sorted(steps, key=lambda step: step.at_s))
         schedules.append(Schedule(FIRST_SEED + index, NODES, length_s, False, ordered))
--- a/src/zincvale/simulator/schedules/run.py
+++ b/src/zincvale/simulator/schedules/run.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from zincvale.coordination.config import ReadinessRule
 from zincvale.coordination.registers.change_messages import IN_FORCE
 from zincvale.coordination.replication.replica_sets import INTENT_KEY
 from zincvale.simulator.cluster.cluster import Cluster
@@ -63,15 +64,17 @@
 
 
 class ScheduleRun:
-    """One run of one schedule."""
+    """One run of one schedule, on a cluster with the given rule of readiness."""
 
-    def __init__(self, schedule: Schedule) -> None:
+    def __init__(
+        self, schedule: Schedule, readiness: ReadinessRule = ReadinessRule.LEASE_OR_EVIDENCE
+    ) -> None:
         self._schedule = schedule
         source = random.Random(f"run {schedule.seed}")
         self.simulation = Simulation(source, Network(source), schedule.uses_codec)
         self.checker = InvariantChecker(self.simulation, ROLES)
         self.simulation.observer = self.checker
-        self.cluster = Cluster(self.simulation, source, schedule.nodes, ROLES)
+        self.cluster = Cluster(self.simulation, source, schedule.nodes, ROLES, readiness=readiness)
         self.operators = Operators(self.cluster, self.checker, source)
         self._publisher = RolePublisher(self.cluster, ROLES[0])
         self._recovery_s: float | None = None
@@ -200,6 +203,8 @@
             raise InvariantViolationError("history", "; ".join(problems[:3]))
 
 
-def run_schedule(schedule: Schedule) -> Outcome:
+def run_schedule(
+    schedule: Schedule, readiness: ReadinessRule = ReadinessRule.LEASE_OR_EVIDENCE
+) -> Outcome:
     """Run a schedule and return its outcome."""
-    return ScheduleRun(schedule).execute()
+    return ScheduleRun(schedule, readiness).execute()
--- a/tests/simulator/mutations/test_mutations.py
+++ b/tests/simulator/mutations/test_mutations.py
@@ -7,6 +7,8 @@
 from zincvale.simulator.mutations.mutations import MUTATIONS, first_catch
 from zincvale.simulator.register_exploration import explore_register, walk_register
 from zincvale.simulator.schedules.directed import SEEDS_PER_CORE, directed_schedules
+from zincvale.simulator.schedules.drawing import draw_schedule
+from zincvale.simulator.schedules.run import run_schedule
 
 MAX_STATES = 20_000
 WALK_COUNT = 400
@@ -35,6 +37,8 @@
     "jump-keeps-lease": "cut-in-two",
     "island-serves": "cut-in-two",
     "no-registry-majority": "cut-node-and-restarted-cores",
+    "evidence-without-registry": "most-nodes-cut",
+    "registry-majority-with-leases": "most-nodes-lost",
     "role-without-margin": "cut-holder-and-restarted-grantors",
     "grantor-forgets-roles": "cut-holder-and-restarted-grantors",
     "role-grants-shared": "cut-in-two",
@@ -42,6 +46,15 @@
 """Scenarios in which every invariant holds (`test_directed`), but not under the mutation."""
 
 
+SEED_BY_MUTATION = {
+    "no-registry-majority": 27,
+    "evidence-without-registry": 34,
+    "registry-majority-with-leases": 4,
+}
+"""Drawn schedules in which every invariant holds, but not under the mutation: the exploration finds
+what each rule of readiness needs, not only a scenario that was written for it."""
+
+
 class MutationsTest(testtools.TestCase):
     def test_every_mutation_has_a_detection_test(self) -> None:
         tested = {*MUTATIONS_DETECTED_BY_EXPLORATION, *SCENARIO_BY_MUTATION}
@@ -62,6 +75,13 @@
                 len(detecting_seeds), SEEDS_PER_CORE, f"{name}: {detecting_seeds}"
             )
 
+    def test_drawn_schedules_detect_mutations_of_readiness_rules(self) -> None:
+        for name, seed in SEED_BY_MUTATION.items():
+            mutation = MUTATIONS[name]
+            schedule = draw_schedule(seed, mutation.readiness)
+            self.assertEqual("", run_schedule(schedule, mutation.readiness).problem)
+            self.assertIsNotNone(first_catch(mutation, [schedule]), name)
+
     def test_register_exploration_detects_mutations(self) -> None:
         for name in MUTATIONS_DETECTED_BY_EXPLORATION:
             with MUTATIONS[name].apply():
