--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -99,7 +99,14 @@
         """Serve until SIGTERM or SIGINT, then drain; raises `StartupError`."""
         self.process.listen_peers()
         servers = self._listen()
-        self._node.run(Drain(self._start_draining, self._is_drained, self._drain_limit_s))
+        self._node.run(
+            Drain(
+                self._start_draining,
+                self._is_drained,
+                self._drain_limit_s,
+                self._service.refuse_new_requests,
+            )
+        )
         for server in servers:
             server.stop()
         self._service.close()
@@ -257,10 +264,7 @@
         if now - self._stop_requested_at >= self._drain_limit_s - FINAL_REFUSAL_S:
             self._service.refuse_pending()
         min_drain_passed = now - self._drain_started_at >= MIN_DRAIN_S
-        if not min_drain_passed or self._service.active_requests:
-            return False
-        self._service.refuse_new_requests()
-        return True
+        return min_drain_passed and not self._service.active_requests
 
 
 class _ReadyHandler(RequestHandler):
--- a/src/zincvale/daemons/node_assembly.py
+++ b/src/zincvale/daemons/node_assembly.py
@@ -90,6 +90,8 @@
         self.zone = ZoneName(settings.zone)
         self._handler = handler
         self._left_at: float | None = None
+        self._leave_by = float("inf")
+        """Until when the node drains at most."""
         self.machine = NodeMachine(
             node_config(settings, self.incarnation, options), self.random, self.clock()
         )
@@ -118,14 +120,24 @@
     def run(self, drain: Drain) -> None:
         """Serve until SIGTERM or SIGINT, then drain and give up the lease."""
         self._ticker.start()
-        self.process.run(attrs.evolve(drain, is_done=lambda: self._has_left(drain)))
+        self.process.run(self._drain_and_leave(drain))
         self._ticker.stop()
 
+    def _drain_and_leave(self, drain: Drain) -> Drain:
+        """Return a drain that also gives up the lease, when `drain` is done or at its limit."""
+
+        def begin(not_before: float) -> None:
+            self._leave_by = self.clock() + drain.limit_s
+            drain.begin(not_before)
+
+        return Drain(begin, lambda: self._has_left(drain), drain.limit_s + LEAVE_S)
+
     def _has_left(self, drain: Drain) -> bool:
-        """Whether the drain is done and the cores have had time to learn it."""
-        if not drain.is_done():
-            return False
+        """Whether the drain is over and the cores have had time to learn it."""
         if self._left_at is None:
+            if not drain.is_done() and self.clock() < self._leave_by:
+                return False
+            drain.end()
             self._left_at = self.clock()
             self.process.driver.submit(ShutdownRequested())
         return self.clock() - self._left_at >= LEAVE_S
--- a/src/zincvale/daemons/process.py
+++ b/src/zincvale/daemons/process.py
@@ -36,28 +36,32 @@
 Python's default of 700 several times a second, although it creates few cycles."""
 
 
+def _do_nothing() -> None:
+    """Do nothing: the default of optional callbacks."""
+
+
 @attrs.frozen
 class Drain:
     """How a daemon drains: it calls `begin`, then serves until `is_done` or for `limit_s` seconds.
 
+    A node calls `end` then, and gives up its lease.
+
     Attributes
     ----------
     begin : called with a time before which the signal was certainly not sent. A process that was
         frozen notices the signal late, but the sender's grace period starts when it is sent.
+    end : makes a node refuse whatever has not begun.
     """
 
     begin: Callable[[float], None]
     is_done: Callable[[], bool]
     limit_s: float
+    end: Callable[[], None] = _do_nothing
 
 
 NO_DRAIN = Drain(lambda _not_before: None, lambda: True, 0.0)
 
 
-def _no_reload() -> None:
-    """Ignore SIGHUP: the settings are read only once."""
-
-
 @attrs.define
 class DaemonProcess:
     """One daemon's peer endpoint, driver and HTTP servers around its coordination machine.
@@ -73,8 +77,8 @@
     peers: PeerClient
     admission: Admission
     _clock: Callable[[], float]
-    on_reload: Callable[[], None] = _no_reload
-    """Called on SIGHUP, since the settings file may have changed."""
+    on_reload: Callable[[], None] = _do_nothing
+    """Called on SIGHUP, since the settings file may have changed; most daemons read it once."""
     _http_servers: list[AdmittingServer] = attrs.field(factory=list)
     _is_stopping: bool = False
 
--- a/tests/daemons/test_node_assembly.py
+++ b/tests/daemons/test_node_assembly.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from unittest import mock
 
 import testtools
@@ -13,6 +14,7 @@
 from zincvale.coordination.replication.replica_sets import INTENT_KEY, REGISTRY_KEY
 from zincvale.daemons.forwarding_node import ForwardingNode
 from zincvale.daemons.node_daemon import NodeDaemon
+from zincvale.daemons.process import Drain
 from zincvale.daemons.residency_row_codec import RESIDENCY_TOPIC
 from zincvale.platform.callers import PlatformForwarding
 from zincvale.runtime.forwarding_settings import ForwardingSettings
@@ -79,6 +81,30 @@
             daemon.on_tick(100.0)
         self.assertEqual(["tracing.tick", "tracing.tick", "report"], self.calls)
 
+    def end_of_drain(self, is_done: bool) -> list[str]:
+        """Begin a drain of 5 s, check its end at 4, 5 and 5.2 s, and return what was called."""
+        node = self.native_node()._node
+        node.process = SimpleNamespace(driver=CallRecorder("driver", self.calls))
+        node.clock = lambda: self.now
+        drain = Drain(lambda _: None, lambda: is_done, 5.0, lambda: self.calls.append("end"))
+        self.now = 100.0
+        leaving = node._drain_and_leave(drain)
+        leaving.begin(100.0)
+        self.has_ended = []
+        for self.now in (104.0, 105.0, 105.2):
+            self.has_ended.append(leaving.is_done())
+        self.assertGreater(leaving.limit_s, 5.0)
+        return self.calls
+
+    def test_a_node_gives_up_its_lease_at_the_limit_of_its_drain(self) -> None:
+        """ACKS: a node that ended during a long stream kept its lease, so changes waited for it."""
+        self.assertEqual(["end", "driver.submit"], self.end_of_drain(is_done=False))
+        self.assertEqual([False, False, True], self.has_ended)
+
+    def test_a_node_gives_up_its_lease_once_its_drain_is_done(self) -> None:
+        self.assertEqual(["end", "driver.submit"], self.end_of_drain(is_done=True))
+        self.assertEqual([False, True, True], self.has_ended)
+
     def test_the_service_is_closed_after_the_process_has_stopped(self) -> None:
         daemon = self.forwarding_node()
         daemon.process = daemon._node.process = CallRecorder("process", self.calls)
