--- a/src/zincvale/coordination/registers/cluster_creation.py
+++ b/src/zincvale/coordination/registers/cluster_creation.py
@@ -7,10 +7,15 @@
 
 A core that is lost during the first start does not prevent that. After `MISSING_CORE_WAIT_S`, a
 majority of the initial cores is enough: the missing one is declared with an unknown disk, which
-never votes, until a core with a disk replaces it. A later core of the list creates the cluster only
-after the earlier ones were silent for `TAKEOVER_S`. Should two cores create one nevertheless, at
-most one record is chosen, because each needs a majority of the same three and a disk takes only one
-first record; the owner of the key then replaces the other.
+never votes, until a core with a disk replaces it. A core that is there with another disk than the
+one that was told to create the cluster counts as missing too: it takes no first record, since it
+may have taken one before. A later core of the list creates the cluster only if each earlier one was
+silent for `TAKEOVER_S` or cannot create it. Should two cores create one nevertheless, at most one
+record is chosen, because each needs a majority of the same three and a disk takes only one first
+record; the owner of the key then replaces the other.
+
+The creating core passes the first record on until the others have it. If it is lost right after,
+the cores that have the record do so.
 """
 
 from __future__ import annotations
@@ -20,7 +25,7 @@
 from zincvale.coordination.core.context import CoreContext
 from zincvale.coordination.core.messages import CreateCluster, Heartbeat
 from zincvale.coordination.membership.messages import MemberInfo
-from zincvale.coordination.registers.epochs import Epoch, Position
+from zincvale.coordination.registers.epochs import Epoch, Position, epoch_owner
 from zincvale.coordination.registers.record_codec import StoredKeyState
 from zincvale.coordination.registers.records import Record
 from zincvale.coordination.replication.replica_config import ReplicaConfig, majority
@@ -82,11 +87,11 @@
         context = self._context
         if not context.config.bootstrap or not context.config.initial_cores:
             return []
+        if not self.is_empty():
+            return self._send_first_record(now)
         is_first = context.config.initial_cores[0].member == context.own_id
         if not is_first and not self._takes_over(now):
             return []
-        if not self.is_empty():
-            return self._send_first_record(now)
         if now - context.started_at < self._listen_duration_s():
             return []
         if self.existing_cluster and not context.config.recover:
@@ -96,13 +101,17 @@
         return self._create(now)
 
     def _takes_over(self, now: float) -> bool:
-        """Whether this core is the first initial core that is not silent."""
+        """Whether this core is the first initial core that is not silent and may create."""
         context = self._context
         if context.config.recover:
             return False
+        live = context.cores.live(now)
         for initial in context.config.initial_cores:
             if initial.member == context.own_id:
                 return True
+            status = live.get(initial.member)
+            if status is not None and not _awaits_creation(status):
+                continue
             last_heard_at = context.cores.last_heard_at(initial.member)
             if now - max(last_heard_at, context.started_at) < TAKEOVER_S:
                 return False
@@ -168,12 +177,12 @@
             status = live.get(initial.member)
             if initial.member == context.own_id:
                 rows.append(CoreRow(context.info(), context.disk))
-            elif status is None:
-                rows.append(_row_of_missing_core(initial))
-            elif _awaits_creation(status):
+            elif status is not None and status.cluster_incarnation:
+                return []
+            elif status is not None and _awaits_creation(status):
                 rows.append(CoreRow(status.info, status.disk))
             else:
-                return []
+                rows.append(_row_of_missing_core(initial))
         present = sum(row.disk != UNKNOWN_DISK for row in rows)
         may_miss_cores = (
             now - context.started_at >= MISSING_CORE_WAIT_S and not context.config.recover
@@ -184,7 +193,7 @@
     def _send_first_record(self, now: float) -> list[Effect]:
         context = self._context
         record = context.replica.state(REPLICA_SETS_KEY).record
-        if record.position.version != 1:
+        if record.position.version != 1 or not self._passes_on(record, now):
             return []
         effects: list[Effect] = []
         for member, status in context.cores.live(now).items():
@@ -193,6 +202,17 @@
                 effects.append(Send(member, CreateCluster(status.disk, record.to_update())))
         return effects
 
+    def _passes_on(self, record: Record, now: float) -> bool:
+        """Whether this core wrote the first record, or the core that did is lost or lost it."""
+        epoch = record.position.epoch
+        if epoch.member() == self._context.own_id:
+            return True
+        status = self._context.cores.live(now).get(MemberId(epoch.member()))
+        if status is None:
+            return True
+        is_same_run = epoch.owner == epoch_owner(status.info.member, status.info.incarnation)
+        return not is_same_run and not status.cluster_incarnation
+
     def _refuse_creation(self) -> list[Effect]:
         if self._is_refused:
             return []
--- a/src/zincvale/daemons/core_assembly.py
+++ b/src/zincvale/daemons/core_assembly.py
@@ -35,6 +35,7 @@
 from zincvale.runtime.driver import TICK_INTERVAL_MS
 from zincvale.runtime.logs import log
 from zincvale.runtime.settings import DaemonSettings
+from zincvale.storage.creation_file import CreationFile
 from zincvale.storage.version_files import VersionFiles
 from zincvale.tracing.config import TracingConfig
 from zincvale.tracing.service import TracingService
@@ -111,8 +112,9 @@
         self._handler = handler
         files = open_files(settings, self.random)
         recovered = files.load()
+        initial_cores = _initial_cores(settings, recovered.disk, options)
         self.machine = CoreMachine(
-            core_config(settings, incarnation, options),
+            core_config(settings, incarnation, options, initial_cores),
             recovered,
             {INTENT_KEY: reducer},
             self.random,
@@ -158,8 +160,18 @@
         self._handler.on_tick(self.clock())
 
 
-def core_config(settings: DaemonSettings, incarnation: str, options: CoreOptions) -> CoreConfig:
-    """Return the configuration of a core's coordination machine."""
+def core_config(
+    settings: DaemonSettings,
+    incarnation: str,
+    options: CoreOptions,
+    initial_cores: tuple[InitialCore, ...],
+) -> CoreConfig:
+    """Return the configuration of a core's coordination machine.
+
+    Parameters
+    ----------
+    initial_cores : the cores with which this start may create the cluster; none if it may not.
+    """
     return CoreConfig(
         cluster_id=settings.cluster_id,
         member=MemberId(settings.member_id),
@@ -169,17 +181,9 @@
         api_address=Address(settings.api_address),
         peer_address=Address(settings.peer_address),
         seeds=tuple(Address(seed) for seed in settings.seeds),
-        bootstrap=options.bootstrap,
+        bootstrap=options.bootstrap or bool(initial_cores),
         recover=options.recover,
-        initial_cores=tuple(
-            InitialCore(
-                MemberId(core.member_id),
-                Address(core.api_address),
-                Address(core.peer_address),
-                ZoneName(core.zone),
-            )
-            for core in settings.bootstrap_cores
-        ),
+        initial_cores=initial_cores,
         roles=CORE_ROLES,
         timings=options.timings,
         group_size=options.group_size,
@@ -187,6 +191,30 @@
     )
 
 
+def _initial_cores(
+    settings: DaemonSettings, disk_id: str, options: CoreOptions
+) -> tuple[InitialCore, ...]:
+    """Return the cores with which this start may create the cluster.
+
+    A start that is told so remembers them, for one that is not told and finds its disk as it was.
+    """
+    file = CreationFile(Path(settings.data_folder), open_disk(settings), disk_id)
+    if not options.bootstrap:
+        return file.initial_cores()
+    initial_cores = tuple(
+        InitialCore(
+            MemberId(core.member_id),
+            Address(core.api_address),
+            Address(core.peer_address),
+            ZoneName(core.zone),
+        )
+        for core in settings.bootstrap_cores
+    )
+    if not options.recover:
+        file.remember(initial_cores)
+    return initial_cores
+
+
 def open_files(settings: DaemonSettings, random_source: random.Random) -> VersionFiles:
     """Return the version files in a core's data folder, which hold its durable state."""
     return VersionFiles(
--- a/src/zincvale/simulator/mutations/registers.py
+++ b/src/zincvale/simulator/mutations/registers.py
@@ -20,7 +20,8 @@
 from zincvale.coordination.replication import replica_config
 from zincvale.model.machine import Send, Write
 from zincvale.simulator.mutations.registry import mutation
-from zincvale.storage.version_files import VersionFiles
+from zincvale.storage import disk as disk_module
+from zincvale.storage import version_files
 
 
 @mutation("majority-of-one", "one replica counts as a majority")
@@ -58,16 +59,16 @@
 @contextlib.contextmanager
 def no_folder_sync() -> Iterator[None]:
     """A power loss can remove the names of record files."""
-    original = VersionFiles._write_file
+    original = disk_module.write_durably
 
-    def write_without_folder_sync(self: Any, folder: Any, name: str, content: bytes) -> None:
+    def write_without_folder_sync(disk: Any, folder: Any, name: str, content: bytes) -> None:
         if not name.isdigit():
-            original(self, folder, name, content)
+            original(disk, folder, name, content)
             return
-        self._disk.write_synced(folder / f"{name}.aside", content)
-        self._disk.rename(folder / f"{name}.aside", folder / name)
+        disk.write_synced(folder / f"{name}.aside", content)
+        disk.rename(folder / f"{name}.aside", folder / name)
 
-    with mock.patch.object(VersionFiles, "_write_file", write_without_folder_sync):
+    with mock.patch.object(version_files, "write_durably", write_without_folder_sync):
         yield
 
 
--- a/src/zincvale/storage/disk.py
+++ b/src/zincvale/storage/disk.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 from pathlib import Path
 from typing import Protocol
 
+TEMPORARY_SUFFIX = ".aside"
+"""Suffix of a file that is being written; it is renamed when its content is durable."""
+
 
 class DiskInterface(Protocol):
     """File system operations that storage uses.
@@ -103,6 +107,30 @@
         os.unlink(path)
 
 
+def write_durably(disk: DiskInterface, folder: Path, name: str, content: bytes) -> None:
+    """Write a file so that after a crash it has its former content or the new one.
+
+    Raises
+    ------
+    OSError
+        The file system reports an error; the temporary file is removed if possible.
+    """
+    temporary = folder / f"{name}{TEMPORARY_SUFFIX}"
+    try:
+        disk.write_synced(temporary, content)
+        disk.rename(temporary, folder / name)
+    except OSError:
+        try_remove(disk, temporary)
+        raise
+    disk.sync_folder(folder)
+
+
+def try_remove(disk: DiskInterface, path: Path) -> None:
+    """Remove a file; an error is ignored, since the file is not needed."""
+    with contextlib.suppress(OSError):
+        disk.remove(path)
+
+
 def _write_all(descriptor: int, content: bytes) -> None:
     view = memoryview(content)
     while view:
--- a/src/zincvale/storage/version_files.py
+++ b/src/zincvale/storage/version_files.py
@@ -27,12 +27,11 @@
 from zincvale.coordination.registers.recovered_state import RecoveredKey, RecoveredState
 from zincvale.model.errors import StorageError, WrongClusterError
 from zincvale.storage import log_events
-from zincvale.storage.disk import DiskInterface
+from zincvale.storage.disk import TEMPORARY_SUFFIX, DiskInterface, try_remove, write_durably
 
 IDENTITY_FILE = "identity"
 KEYS_FOLDER = "keys"
 QUARANTINE_FOLDER = "quarantine"
-TEMPORARY_SUFFIX = ".aside"
 NUMBER_DIGITS = 12
 """Number of digits in a file's name; names of equal length sort by number."""
 CHECKSUM_BYTES = 8
@@ -122,7 +121,7 @@
             folder = self._key_folder(key)
             if key not in self._chains:
                 self._disk.make_folder(folder)
-            self._write_file(folder, _file_name(number), self._with_checksum(content))
+            write_durably(self._disk, folder, _file_name(number), self._with_checksum(content))
         except OSError as error:
             return f"{key} file {number}: {error.strerror or error}"
         self._record_written(key, number, content)
@@ -154,7 +153,7 @@
     def _create_identity(self) -> None:
         self._disk_id = f"{self._random.getrandbits(DISK_ID_BITS):016x}"
         content = orjson.dumps({"cluster_id": self._cluster_id, "disk": self._disk_id})
-        self._write_file(self._folder, IDENTITY_FILE, content)
+        write_durably(self._disk, self._folder, IDENTITY_FILE, content)
         self._log(log_events.FOLDER_CREATED, {"disk": self._disk_id})
 
     def _check_no_records(self) -> None:
@@ -237,16 +236,6 @@
         self._disk.sync_folder(folder)
         self._log(log_events.FILE_QUARANTINED, {"key": unquote(folder.name), "file": name})
 
-    def _write_file(self, folder: Path, name: str, content: bytes) -> None:
-        temporary = folder / f"{name}{TEMPORARY_SUFFIX}"
-        try:
-            self._disk.write_synced(temporary, content)
-            self._disk.rename(temporary, folder / name)
-        except OSError:
-            self._try_remove(temporary)
-            raise
-        self._disk.sync_folder(folder)
-
     def _record_written(self, key: str, number: int, content: bytes) -> None:
         chains = self._chains.setdefault(key, [])
         if content[:1] == SNAPSHOT_MARK or not chains:
@@ -258,13 +247,7 @@
         chains = self._chains[key]
         while len(chains) > CHAINS_RETAINED:
             for number in chains.pop(0):
-                self._try_remove(self._key_folder(key) / _file_name(number))
-
-    def _try_remove(self, path: Path) -> None:
-        try:
-            self._disk.remove(path)
-        except OSError:
-            return
+                try_remove(self._disk, self._key_folder(key) / _file_name(number))
 
     def _key_folder(self, key: str) -> Path:
         return self._folder / KEYS_FOLDER / quote(key, safe="")
--- a/tests/coordination/test_first_start.py
+++ b/tests/coordination/test_first_start.py
@@ -71,6 +71,42 @@
 
             self.assertTrue(cluster.run_until(has_joined, JOIN_S), late)
 
+    def test_cores_that_restart_with_an_empty_disk_do_not_prevent_the_cluster(self) -> None:
+        """ACKS: a core that ended before it had a disk starts again without being told to create
+        the cluster. It counted as present, and as the one to wait for."""
+        for seed in range(1, 4):
+            for restarted in CORES:
+                for after_s in LOST_AFTER_S:
+                    with self.subTest(seed=seed, restarted=restarted, after_s=after_s):
+                        cluster = Cluster(seed, timings=forwarding_timings())
+                        cluster.run(after_s)
+                        cluster.kill(restarted)
+                        cluster.lose_disk(restarted)
+                        cluster.run(0.5)
+                        cluster.start_core(restarted)
+                        self.assertTrue(cluster.run_until(cluster.all_ready, CREATION_S))
+                        result = cluster.change(restarted, "o", {"a": "1"})
+                        self.assertEqual("in-force", result.status)
+
+    def test_a_creator_that_is_lost_after_one_core_took_its_record_leaves_a_cluster(self) -> None:
+        for seed in range(1, 4):
+            for receiver, other in (CORES[1:], CORES[:0:-1]):
+                cluster = Cluster(seed, timings=forwarding_timings())
+
+                def has_taken(cluster=cluster, receiver=receiver) -> bool:
+                    return bool(self.replicas(cluster, receiver))
+
+                # The creator hears the other core until it has written the record.
+                cluster.run_until(lambda cluster=cluster: self.replicas(cluster, CORES[0]), 9.0)
+                cluster.cut(CORES[0], other)
+                self.assertTrue(cluster.run_until(has_taken, 3.0))
+                cluster.kill(CORES[0])
+                cluster.lose_disk(CORES[0])
+                cluster.heal()
+                cluster.run(0.5)
+                cluster.start_core(CORES[0])
+                self.assertTrue(cluster.run_until(cluster.all_ready, CREATION_S), receiver)
+
     def test_no_cluster_is_created_by_a_minority(self) -> None:
         cluster = Cluster(1, timings=forwarding_timings())
         for lost in CORES[1:]:
