--- a/src/zincvale/dataplane/forwarding/forwarded_request.py
+++ b/src/zincvale/dataplane/forwarding/forwarded_request.py
@@ -45,10 +45,11 @@
 from zincvale.dataplane.forwarding.request_machine import RequestMachine
 from zincvale.dataplane.forwarding.servers import ServerState
 from zincvale.model.forwarding import ForwardRoute
-from zincvale.transport.server_client import ServerExchange
+from zincvale.transport.server_client import PresenceCheck, ServerExchange
 from zincvale.transport.server_exchange import OutgoingRequest, ResponseHead
 
 EVENT_STREAM = "text/event-stream"
+IDENTITY = "identity"
 MAX_UNSENT_BYTES = 262_144
 """When more bytes than this wait for a slow caller, reading from its server is paused; bounds the
 node's memory."""
@@ -92,7 +93,7 @@
         self._is_running = False
         self._pending: PendingRequest | None = None
         self._choice: ServerChoice | None = None
-        self._exchange: ServerExchange | None = None
+        self._exchange: ServerExchange | PresenceCheck | None = None
         self._head: ResponseHead | None = None
         self._splitter: EventSplitter | None = None
         self._sent_at = 0.0
@@ -138,6 +139,8 @@
         headers = head.lower_case_headers()
         self._head = head
         is_stream = headers.get("content-type", "").startswith(EVENT_STREAM)
+        # The events of an encoded stream can't be told apart; its bytes are relayed as they come.
+        is_stream = is_stream and headers.get("content-encoding", IDENTITY) == IDENTITY
         self._splitter = EventSplitter() if is_stream else None
         facts = self._context.dialect.response_facts(head.status, headers)
         if self._choice is not None and not facts.never_ran and not is_stream:
@@ -158,8 +161,30 @@
             self._on_first_event()
         self._feed(ContentReceived(events.content, events.last_id))
 
-    def on_complete(self) -> None:
-        """Handle the end of a complete response."""
+    def on_complete(self, *, is_delimited: bool) -> None:
+        """Handle the end of a response.
+
+        One that ended with its connection is complete only if the server ended it, and not the end
+        of the server: a stream in the middle of an event was cut off, and a server that accepts no
+        connections any more has gone.
+        """
+        if is_delimited or self._choice is None:
+            self._complete()
+        elif self._splitter is not None and self._splitter.is_event_open:
+            self.on_broken("the connection ended in the middle of an event")
+        else:
+            row = self._choice.server.row
+            self._exchange = self._context.client.check_presence(
+                row.address, row.incarnation, self._on_presence_checked
+            )
+
+    def _on_presence_checked(self, is_present: bool) -> None:
+        if is_present:
+            self._complete()
+        else:
+            self.on_broken("the server ended, and the connection with it")
+
+    def _complete(self) -> None:
         self._exchange = None
         remainder = self._splitter.take_remainder() if self._splitter is not None else b""
         if remainder:
@@ -169,7 +194,8 @@
     def on_broken(self, reason: str) -> None:
         """Handle an exchange that broke after a part of the request may have been sent."""
         self._exchange = None
-        self._feed(ResponseBroken(reason))
+        is_part_relayed = self._splitter is not None and self._splitter.is_part_returned
+        self._feed(ResponseBroken(reason, is_part_relayed))
 
     def _on_first_event(self) -> None:
         self._first_event_at = self._context.clock()
--- a/src/zincvale/dataplane/forwarding/request_events.py
+++ b/src/zincvale/dataplane/forwarding/request_events.py
@@ -80,9 +80,16 @@
 
 @attrs.frozen
 class ResponseBroken:
-    """The exchange broke after a part of the request may have been sent."""
+    """The exchange broke after a part of the request may have been sent.
+
+    Attributes
+    ----------
+    is_event_open : whether a part of an event was relayed without its end, so that no other event
+        may follow.
+    """
 
     reason: str
+    is_event_open: bool = False
 
 
 @attrs.frozen
--- a/src/zincvale/dataplane/forwarding/request_machine.py
+++ b/src/zincvale/dataplane/forwarding/request_machine.py
@@ -179,8 +179,8 @@
                 return self._handle_content(content, last_event_id)
             case ResponseCompleted():
                 return self._handle_completed()
-            case ResponseBroken(reason):
-                return self._handle_broken(reason)
+            case ResponseBroken(reason, is_event_open):
+                return self._handle_broken(reason, is_event_open)
 
     def _handle_head(self, head: HeadReceived) -> list[Effect]:
         if head.facts.never_ran:
@@ -251,11 +251,11 @@
         self.phase = Phase.DONE
         return [ReleaseServer(), EndResponse(), FinishRequest(RequestOutcome.ANSWERED)]
 
-    def _handle_broken(self, reason: str) -> list[Effect]:
+    def _handle_broken(self, reason: str, is_event_open: bool) -> list[Effect]:
         self._may_have_run = True
         self._excluded.add(self._server)
         release_effects: list[Effect] = [ReleaseServer(unreachable=True)]
-        if self._may_continue():
+        if self._may_continue() and not is_event_open:
             return release_effects + self._select_again()
         if self._is_head_relayed:
             return release_effects + self._abort(reason)
--- a/src/zincvale/simulator/forwarding/servers.py
+++ b/src/zincvale/simulator/forwarding/servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import functools
 from collections.abc import Callable
 from http import HTTPStatus
 from random import Random
@@ -12,6 +13,7 @@
 
 from zincvale.dataplane.forwarding.native_dialect import INCARNATION, LAST_EVENT_ID, NEVER_RAN
 from zincvale.simulator.forwarding.journal import Arrival, ForwardingJournal, Run
+from zincvale.transport.server_client import PresenceCheck
 from zincvale.transport.server_exchange import OutgoingRequest, ResponseHead, ResponseListener
 
 REQUEST_ID = "x-request-id"
@@ -20,6 +22,8 @@
 EVENT_INTERVAL_S = 0.03
 """Interval between two events of a stream."""
 CONNECT_TIMEOUT_S = 0.5
+PRESENCE_CHECK_S = 0.002
+"""How long a server takes to accept or refuse a connection."""
 DELAY_RANGE_S = (0.001, 0.02)
 """Shortest and longest time that a request takes to reach a server."""
 RUN_DURATION_RANGE_S = (0.01, 0.4)
@@ -114,6 +118,18 @@
             loop.call_later(self.random.uniform(*DELAY_RANGE_S), task.arrive, loop.time())
         return exchange
 
+    def check_presence(
+        self, address: str, incarnation: str, on_result: Callable[[bool], None]
+    ) -> PresenceCheck:
+        """Report whether the incarnation of a server runs; a restart takes longer than a check."""
+        server = self.servers[address]
+        check = PresenceCheck(on_result)
+        is_gone = server.incarnation != incarnation
+        is_gone = is_gone or server.behavior is Behavior.REFUSING_CONNECTIONS
+        loop = asyncio.get_running_loop()
+        loop.call_later(PRESENCE_CHECK_S, functools.partial(check.finish, is_present=not is_gone))
+        return check
+
     def keep_only(self, targets: set[tuple[str, str]]) -> None:
         """Do nothing: simulated connections are not pooled."""
 
@@ -245,10 +261,24 @@
             run.responded_at = self._loop.time()
 
     def _break_off(self, chunks: list[bytes]) -> None:
+        """End a response early: by a reset, or one without a length by its connection's end.
+
+        The latter is told from a complete response only within an event, or if the server is gone.
+        """
         self._mark_responded()
+        cut = self._client.random.randrange(len(chunks[0])) if chunks else 0
         if chunks:
-            self._listener.on_content(chunks[0][: self._client.random.randrange(len(chunks[0]))])
-        if not self._exchange.is_cancelled:
+            self._listener.on_content(chunks[0][:cut])
+        if self._exchange.is_cancelled:
+            return
+        behavior = self._server.behavior
+        has_crashed = (
+            self._server.incarnation != self._incarnation
+            or behavior is Behavior.REFUSING_CONNECTIONS
+        )
+        if (self._is_stream and cut % 2) or (has_crashed and cut % 2 == 0):
+            self._listener.on_complete(is_delimited=False)
+        else:
             self._listener.on_broken("reset")
 
     def _head(self, status: int, *headers: tuple[str, str]) -> None:
@@ -259,4 +289,4 @@
     def _end(self) -> None:
         self._mark_responded()
         if not self._exchange.is_cancelled:
-            self._listener.on_complete()
+            self._listener.on_complete(is_delimited=True)
--- a/src/zincvale/transport/complete_exchange.py
+++ b/src/zincvale/transport/complete_exchange.py
@@ -79,8 +79,8 @@
         """Store a part of the body."""
         self._body.append(data)
 
-    def on_complete(self) -> None:
-        """Resolve the response."""
+    def on_complete(self, *, is_delimited: bool) -> None:  # noqa: ARG002 (the interface)
+        """Resolve the response; its reader finds out whether one without a length is whole."""
         self.is_finished = True
         assert self._head is not None
         if not self.response.done():
--- a/src/zincvale/transport/server_client.py
+++ b/src/zincvale/transport/server_client.py
@@ -88,6 +88,34 @@
         self.reused = reused
 
 
+class PresenceCheck:
+    """A check whether a server still accepts connections; stands for the exchange before it.
+
+    Parameters
+    ----------
+    on_result : called once with the result, unless the check is cancelled.
+    """
+
+    def __init__(self, on_result: Callable[[bool], None]) -> None:
+        self._on_result = on_result
+        self._is_cancelled = False
+
+    def cancel(self) -> None:
+        """Drop the result."""
+        self._is_cancelled = True
+
+    def pause(self) -> None:
+        """Do nothing: nothing is read from the server."""
+
+    def resume(self) -> None:
+        """Do nothing: nothing is read from the server."""
+
+    def finish(self, *, is_present: bool) -> None:
+        """Report the result."""
+        if not self._is_cancelled:
+            self._on_result(is_present)
+
+
 @attrs.define
 class ClientCounts:
     """Connections opened and reused since the start, for metrics."""
@@ -134,6 +162,35 @@
             connecting.add_done_callback(self._connecting.discard)
         return exchange
 
+    def check_presence(
+        self, address: str, incarnation: str, on_result: Callable[[bool], None]
+    ) -> PresenceCheck:
+        """Find out whether a server has gone that has just closed a connection.
+
+        When its process ends, the system closes its connections in the same way, and its port with
+        them. The result is False only if a connection is refused: a server that is overloaded or
+        cut off is still there. The connection is kept for the next request.
+        """
+        check = PresenceCheck(on_result)
+        pool = self._pools.setdefault((address, incarnation), _ConnectionPool())
+        checking = asyncio.ensure_future(self._check_presence(address, pool, check))
+        self._connecting.add(checking)
+        checking.add_done_callback(self._connecting.discard)
+        return check
+
+    async def _check_presence(
+        self, address: str, pool: _ConnectionPool, check: PresenceCheck
+    ) -> None:
+        try:
+            connection = await self._connect(address, pool)
+        except (ConnectionRefusedError, ConnectionResetError):
+            check.finish(is_present=False)
+        except (TimeoutError, OSError):
+            check.finish(is_present=True)
+        else:
+            self._return_to_pool(pool, connection)
+            check.finish(is_present=True)
+
     def keep_only(self, targets: set[tuple[str, str]]) -> None:
         """Close the idle connections to all but `targets`, which are (address, incarnation)."""
         for key in [key for key in self._pools if key not in targets]:
--- a/src/zincvale/transport/server_connection.py
+++ b/src/zincvale/transport/server_connection.py
@@ -151,7 +151,7 @@
             return
         reader = self._reader
         if is_clean and reader.is_in_message and reader.ends_with_connection:
-            self._handle_end(ResponseEnd.LAST, is_last_event=True)
+            self._handle_end(ResponseEnd.LAST, is_last_event=True, is_delimited=False)
         self._fail(reason)
 
     def _parse(self, data: memoryview) -> None:
@@ -184,7 +184,9 @@
         if self._is_own_response and self._listener is not None:
             self._listener.on_head(head)
 
-    def _handle_end(self, end: ResponseEnd, *, is_last_event: bool) -> None:
+    def _handle_end(
+        self, end: ResponseEnd, *, is_last_event: bool, is_delimited: bool = True
+    ) -> None:
         if not self._is_own_response:
             # This is a late response to an earlier request; the one to this request may follow.
             if end is not ResponseEnd.REUSABLE:
@@ -195,7 +197,7 @@
         self._request = None
         self._finish_exchange(end, is_last_event=is_last_event)
         if listener is not None:
-            listener.on_complete()
+            listener.on_complete(is_delimited=is_delimited)
 
     def _finish_exchange(self, end: ResponseEnd, *, is_last_event: bool) -> None:
         """Report the connection as idle, or close it if it cannot be reused.
--- a/src/zincvale/transport/server_exchange.py
+++ b/src/zincvale/transport/server_exchange.py
@@ -63,8 +63,14 @@
         """Handle a part of the body."""
         ...
 
-    def on_complete(self) -> None:
-        """Handle the end of a complete response."""
+    def on_complete(self, *, is_delimited: bool) -> None:
+        """Handle the end of a response.
+
+        Parameters
+        ----------
+        is_delimited : whether the response has a length or a last chunk, which it has reached. If
+            not, it ended with its connection, as it also does when the server crashes.
+        """
         ...
 
     def on_broken(self, reason: str) -> None:
--- a/tests/daemons/test_http_fetch.py
+++ b/tests/daemons/test_http_fetch.py
@@ -70,7 +70,7 @@
     listener.on_head(ResponseHead(202, "Accepted", [("Content-Length", "4")]))
     listener.on_content(b"do")
     listener.on_content(b"ne")
-    listener.on_complete()
+    listener.on_complete(is_delimited=True)
 
 
 class HttpFetcherCallTest(TestCase):
--- a/tests/dataplane/forwarding/test_service.py
+++ b/tests/dataplane/forwarding/test_service.py
@@ -16,6 +16,7 @@
     make_row,
 )
 from zincvale.dataplane.forwarding.caller_sink import IncomingRequest
+from zincvale.dataplane.forwarding.event_splitter import MAX_EVENT_BYTES
 from zincvale.dataplane.forwarding.lease_watch import LEASE_WAIT_S, LeaseWatch
 from zincvale.dataplane.forwarding.native_dialect import NativeDialect
 from zincvale.dataplane.forwarding.request_events import RequestOutcome
@@ -28,6 +29,7 @@
 )
 from zincvale.model.forwarding import CallerLimits
 from zincvale.model.identifiers import MemberId, ZoneName
+from zincvale.transport.server_client import PresenceCheck
 from zincvale.transport.server_exchange import ResponseHead
 
 STOP_LIMIT_S = 7.4
@@ -69,6 +71,12 @@
 
     def __init__(self):
         self.sent = []
+        self.is_present = True
+
+    def check_presence(self, address, incarnation, on_result):
+        check = PresenceCheck(on_result)
+        check.finish(is_present=self.is_present)
+        return check
 
     def start(self, address, incarnation, request, listener):
         exchange = Exchange()
@@ -97,6 +105,9 @@
     def abort(self):
         self.log.append("cut")
 
+    def body(self):
+        return b"".join(entry[1] for entry in self.log if entry[0] == "write")
+
     def respond(self, status, headers, body):
         self.log.append((status, dict(headers).get("Retry-After")))
 
@@ -156,7 +167,7 @@
             self.assertFalse(request.is_own_response(200, {}))
             listener.on_head(ResponseHead(200, "OK", [("X-Request-Id", "q1")]))
             listener.on_content(b"answer")
-            listener.on_complete()
+            listener.on_complete(is_delimited=True)
             self.assertEqual([("open", 200), ("write", b"answer"), "end"], sink.log)
             self.assertEqual(0, node.service.active_requests)
             self.assertEqual(0, node.service.routing.servers["s1"].outstanding)
@@ -179,13 +190,109 @@
             self.assertEqual("1", dict(request.headers)["last-event-id"])
             listener.on_head(head)
             listener.on_content(b"id: 2\ndata: b\n\n")
-            listener.on_complete()
+            listener.on_complete(is_delimited=True)
             written = b"".join(entry[1] for entry in sink.log if entry[0] == "write")
             self.assertEqual(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", written)
             self.assertEqual((1, "end"), (sink.log.count(("open", 200)), sink.log[-1]))
 
         run(scenario)
 
+    def cut_stream(
+        self, target, content, *, is_delimited, headers=(), kind="text/event-stream", present=True
+    ):
+        """Answer with `content`, end the connection, and return the node and the sink."""
+        node = Node()
+        node.client.is_present = present
+        _, sink = node.send_request(target)
+        fields = [("X-Request-Id", "q1"), ("Content-Type", kind), *headers]
+        listener = node.client.sent[0][2]
+        listener.on_head(ResponseHead(200, "OK", fields))
+        listener.on_content(content)
+        listener.on_complete(is_delimited=is_delimited)
+        return node, sink
+
+    def test_a_stream_that_ends_with_its_connection_within_an_event_is_not_complete(self):
+        """ORDER: a server crashed in the middle of an event, and the stream ended as complete."""
+
+        async def scenario():
+            for content in (
+                b"id: 1\ndata: a\n\nid: 2\nda",
+                b"id: 1\r\ndata: a\r\n\r\nid: 2\r\nda",
+                b": comment\nid: 1\ndata: a\n\n: comment\n",
+                b"id: 1\nda",
+            ):
+                node, sink = self.cut_stream("/r/x", content, is_delimited=False)
+                self.assertEqual("cut", sink.log[-1], content)
+                node, sink = self.cut_stream("/stream/x", content, is_delimited=False)
+                self.assertEqual(2, len(node.client.sent), content)
+                self.assertNotIn("end", sink.log)
+
+        run(scenario)
+
+    def test_a_stream_that_is_cut_within_its_first_event_is_resumed_from_the_start(self):
+        async def scenario():
+            node, _ = self.cut_stream("/stream/x", b"id: 1\nda", is_delimited=False)
+            self.assertNotIn("last-event-id", dict(node.client.sent[1][1].headers))
+
+        run(scenario)
+
+    def test_a_stream_that_ends_between_two_events_or_as_its_framing_says_is_complete(self):
+        async def scenario():
+            for content, is_delimited in (
+                (b"id: 1\ndata: a\n\n", False),
+                (b"id: 1\ndata: a\n\n: bye\n\n", False),
+                (b"id: 1\ndata: a\r\n\n", False),
+                (b"id: 1\ndata: a\n\nid: 2\ndata: b", True),
+            ):
+                _, sink = self.cut_stream("/stream/x", content, is_delimited=is_delimited)
+                self.assertEqual("end", sink.log[-1], content)
+                self.assertEqual(content, sink.body(), content)
+
+        run(scenario)
+
+    def test_a_response_that_ends_with_its_server_is_not_complete(self):
+        """ORDER, MIXED: a server that crashed between two events closed its connection as one that
+        had sent the last event does, and the stream ended as complete."""
+
+        async def scenario():
+            events = b"id: 1\ndata: a\n\n"
+            _, sink = self.cut_stream("/r/x", events, is_delimited=False, present=False)
+            self.assertEqual("cut", sink.log[-1])
+            node, sink = self.cut_stream("/stream/x", events, is_delimited=False, present=False)
+            self.assertEqual("1", dict(node.client.sent[1][1].headers)["last-event-id"])
+            self.assertNotIn("end", sink.log)
+            _, sink = self.cut_stream(
+                "/r/x", b"half", is_delimited=False, kind="text/plain", present=False
+            )
+            self.assertEqual("cut", sink.log[-1])
+            _, sink = self.cut_stream("/r/x", events, is_delimited=True, present=False)
+            self.assertEqual("end", sink.log[-1])
+
+        run(scenario)
+
+    def test_no_event_follows_a_part_of_a_large_event_that_was_relayed(self):
+        """ORDER: the stream was resumed behind the part, which joined pieces of two runs."""
+
+        async def scenario():
+            node = Node()
+            _, sink = node.send_request("/stream/x")
+            fields = [("X-Request-Id", "q1"), ("Content-Type", "text/event-stream")]
+            listener = node.client.sent[0][2]
+            listener.on_head(ResponseHead(200, "OK", fields))
+            listener.on_content(b"id: 1\ndata: " + b"x" * MAX_EVENT_BYTES)
+            listener.on_broken("reset")
+            self.assertEqual((1, "cut"), (len(node.client.sent), sink.log[-1]))
+
+        run(scenario)
+
+    def test_an_encoded_stream_is_relayed_as_it_comes(self):
+        async def scenario():
+            encoded = [("Content-Encoding", "gzip")]
+            _, sink = self.cut_stream("/r/x", b"\x1f\x8b", is_delimited=False, headers=encoded)
+            self.assertEqual("end", sink.log[-1])
+
+        run(scenario)
+
     def test_the_exchange_is_cancelled_when_the_caller_disconnects(self):
         async def scenario():
             node = Node()
--- a/tests/dataplane/forwarding/test_stop_soak.py
+++ b/tests/dataplane/forwarding/test_stop_soak.py
@@ -136,7 +136,7 @@
 def _complete(listener, is_stream: bool) -> None:
     listener.on_head(STREAM_HEAD if is_stream else HEAD)
     listener.on_content(b"id: 1\ndata: a\n\n" if is_stream else b"{}")
-    listener.on_complete()
+    listener.on_complete(is_delimited=True)
 
 
 class StopSoakTest(testtools.TestCase):
--- a/tests/simulator/forwarding/test_forwarding_model.py
+++ b/tests/simulator/forwarding/test_forwarding_model.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
+import functools
 from collections import Counter
 from unittest import mock
 
 import testtools
 
+from zincvale.dataplane.forwarding.event_splitter import EventSplitter
 from zincvale.dataplane.forwarding.fleet_budgets import RetryBudget, SlowStartLimiter
 from zincvale.dataplane.forwarding.forwarded_request import ForwardedRequest
 from zincvale.dataplane.forwarding.request_events import (
@@ -18,6 +21,8 @@
 from zincvale.dataplane.forwarding.request_machine import Phase, RequestMachine
 from zincvale.dataplane.forwarding.routing_state import RoutingState
 from zincvale.simulator.forwarding.model import run_forwarding
+from zincvale.simulator.forwarding.servers import ModelClient
+from zincvale.transport.server_client import PresenceCheck
 
 SEEDS = range(1, 201)
 MUTATION_SEEDS = range(1, 101)
@@ -29,14 +34,29 @@
 
 
 def _refuse_after_a_run():
-    def broken(self, reason):
+    def broken(self, reason, _is_event_open):
         return [*self._refuse(reason, 0.1)]
 
     return mock.patch.object(RequestMachine, "_handle_broken", broken)
 
 
 def _complete_broken_responses():
-    return mock.patch.object(ForwardedRequest, "on_broken", lambda self, reason: self.on_complete())
+    return mock.patch.object(
+        ForwardedRequest, "on_broken", lambda self, reason: self.on_complete(is_delimited=True)
+    )
+
+
+def _believe_every_end_of_a_connection():
+    return mock.patch.object(EventSplitter, "is_event_open", False)
+
+
+def _believe_the_end_of_a_server():
+    def check_presence(self, _address, _incarnation, on_result):
+        check = PresenceCheck(on_result)
+        asyncio.get_running_loop().call_soon(functools.partial(check.finish, is_present=True))
+        return check
+
+    return mock.patch.object(ModelClient, "check_presence", check_presence)
 
 
 def _resume_from_the_start():
@@ -100,6 +120,11 @@
     "repeats-everything": (_repeat_everything, "at-most-once"),
     "promises-after-a-run": (_refuse_after_a_run, "refusals-are-promises"),
     "closes-broken-answers-whole": (_complete_broken_responses, "answers-are-whole"),
+    "believes-every-end-of-a-connection": (
+        _believe_every_end_of_a_connection,
+        "streams-are-unbroken",
+    ),
+    "believes-the-end-of-a-server": (_believe_the_end_of_a_server, "streams-are-unbroken"),
     "resumes-from-the-start": (_resume_from_the_start, "streams-are-unbroken"),
     "passes-unfinished-events-on": (_forward_incomplete_events, "streams-are-unbroken"),
     "never-spends-the-budget": (_ignore_retry_budget, "retries-within"),
--- a/tests/transport/test_peer_client.py
+++ b/tests/transport/test_peer_client.py
@@ -33,7 +33,7 @@
 
 def empty_response(exchange, listener):
     listener.on_head(ResponseHead(204, "No Content", []))
-    listener.on_complete()
+    listener.on_complete(is_delimited=True)
 
 
 def reset_connection(on_reused):
@@ -52,7 +52,7 @@
     def response(exchange, listener):
         listener.on_head(ResponseHead(status, "", list(headers)))
         listener.on_content(body)
-        listener.on_complete()
+        listener.on_complete(is_delimited=True)
 
     return response
 
--- a/tests/transport/test_server_connection.py
+++ b/tests/transport/test_server_connection.py
@@ -31,8 +31,8 @@
     def on_content(self, data):
         self.events.append(data)
 
-    def on_complete(self):
-        self._record_end("ended")
+    def on_complete(self, *, is_delimited):
+        self._record_end("ended" if is_delimited else "ended with its connection")
 
     def on_broken(self, reason):
         self._record_end("broken")
@@ -173,7 +173,7 @@
             listener = await run_exchange(
                 pair, b"HTTP/1.1 200 OK\r\nrid: q1\r\n\r\nall", close=True
             )
-            self.assertEqual((200, b"all", "ended"), _events_of(listener))
+            self.assertEqual((200, b"all", "ended with its connection"), _events_of(listener))
             self.assertEqual([], pair.idle)
 
         self.run_async(scenario)
