--- a/src/zincvale/controlplane/documents/reducer.py
+++ b/src/zincvale/controlplane/documents/reducer.py
@@ -20,6 +20,11 @@
     change_identity,
     decode_change,
 )
+from zincvale.controlplane.documents.positions import (
+    FIRST_POSITION,
+    Position,
+    assign_positions,
+)
 from zincvale.controlplane.documents.rows import (
     EVACUATED,
     EVACUATED_PREFIX,
@@ -38,9 +43,6 @@
 from zincvale.coordination.changes import ChangeRefused, RowChange, Rows
 from zincvale.model.errors import InvalidInputError, VersionConflictError, ZincvaleError
 
-FIRST_POSITION = 0
-"""Position of the first item of a table; also stored for the limits, which have no position."""
-
 
 @attrs.frozen
 class DocumentReducer:
@@ -147,33 +149,40 @@
     *,
     is_complete: bool,
 ) -> dict[str, bytes | None]:
-    """Return the rows of one table that a change puts, and None for those that it removes.
-
-    A patch keeps the position of an item that exists already and appends new items.
-    """
-    stored = {row: content for row, content in rows.items() if row.startswith(prefix)}
+    """Return the rows of one table that a change puts, and None for those that it removes."""
+    stored = {
+        row: item_position(content) for row, content in rows.items() if row.startswith(prefix)
+    }
     changed: dict[str, bytes | None] = {f"{prefix}{name}": None for name in removed}
     if is_complete:
         changed.update(dict.fromkeys(stored))
-        next_position = FIRST_POSITION
-    else:
-        next_position = max(
-            (item_position(content) + 1 for content in stored.values()), default=FIRST_POSITION
-        )
-    named: set[str] = set()
+    items_by_row: dict[str, Mapping[str, Any]] = {}
     for item in items:
         row = f"{prefix}{item['spec']['name']}"
-        if row in named:
+        if row in items_by_row:
             raise InvalidInputError(f"{row} is declared twice", "declare each name once")
-        named.add(row)
-        if is_complete or row not in stored:
-            position, next_position = next_position, next_position + 1
-        else:
-            position = item_position(stored[row])
-        changed[row] = encode_item(position, item["spec"], item["source"])
+        items_by_row[row] = item
+    if is_complete:
+        positions = assign_positions(list(items_by_row), stored)
+    else:
+        positions = _patched_positions(list(items_by_row), stored)
+    for row, item in items_by_row.items():
+        changed[row] = encode_item(positions[row], item["spec"], item["source"])
     return changed
 
 
+def _patched_positions(rows: Iterable[str], stored: Mapping[str, Position]) -> dict[str, Position]:
+    """Return the positions of patched items: they keep theirs, and new ones are appended."""
+    next_position = max(stored.values(), default=FIRST_POSITION - 1) + 1
+    positions: dict[str, Position] = {}
+    for row in rows:
+        if row in stored:
+            positions[row] = stored[row]
+        else:
+            positions[row], next_position = next_position, next_position + 1
+    return positions
+
+
 def _check_consistency(rows: Mapping[str, bytes], changed: Mapping[str, bytes | None]) -> None:
     """Check each route and its pools, and that no two routes have one host and path prefix.
 
--- a/src/zincvale/controlplane/documents/rows.py
+++ b/src/zincvale/controlplane/documents/rows.py
@@ -14,6 +14,7 @@
 import attrs
 import orjson
 
+from zincvale.controlplane.documents.positions import Position
 from zincvale.model.checked import Checked
 from zincvale.model.errors import InvalidInputError
 from zincvale.model.forwarding import (
@@ -49,8 +50,8 @@
     return int(rows.get(NUMBER_ROW, b"0"))
 
 
-def encode_item(position: int, spec: Mapping[str, Any], source: object) -> bytes:
-    """Return the row of a route, a pool or the limits; `position` is its index in the document.
+def encode_item(position: Position, spec: Mapping[str, Any], source: object) -> bytes:
+    """Return the row of a route, a pool or the limits; `position` orders the items of the document.
 
     The row is copied into bytes of the exact size, for the reason given at
     `intent.row_codec.encode_spec`.
@@ -58,9 +59,10 @@
     return bytes(memoryview(orjson.dumps({"place": position, "spec": spec, "source": source})))
 
 
-def item_position(row: bytes) -> int:
-    """Return the position of an item in its document, from 0."""
-    return int(orjson.loads(row)["place"])
+def item_position(row: bytes) -> Position:
+    """Return the position of an item, which orders the items of its document."""
+    position: Position = orjson.loads(row)["place"]
+    return position
 
 
 @attrs.frozen
--- a/src/zincvale/coordination/registers/replica.py
+++ b/src/zincvale/coordination/registers/replica.py
@@ -38,6 +38,9 @@
 
 SNAPSHOT_EVERY_FILES = 64
 """Maximum length of a chain of a snapshot and its deltas; limits how much a restart reads."""
+MIN_DELTA_BYTES = 262_144
+"""Size up to which the deltas of a chain may grow in any case. Above it they take no more space
+than the snapshot before them."""
 PENDING_REQUESTS_LIMIT = 64
 """Maximum number of queued requests per key; further ones are dropped and their senders resend."""
 WRITE_TOKEN_PREFIX = "record:"
@@ -57,6 +60,10 @@
     state: StoredKeyState = attrs.field(factory=StoredKeyState)
     last_file: int = 0
     files_since_snapshot: int = SNAPSHOT_EVERY_FILES
+    snapshot_bytes: int = 0
+    """Size of the newest snapshot."""
+    delta_bytes: int = 0
+    """Size of the deltas after it."""
     in_flight: _DiskWrite | None = None
     pending: deque[tuple[MemberId, Request]] = attrs.field(factory=deque)
 
@@ -78,7 +85,10 @@
         self._retry_at = 0.0
         for key, files in recovered.keys.items():
             state = decode_chain(files.contents)
-            self._key_replicas[key] = _KeyReplica(state, files.last_file, len(files.contents))
+            sizes = [len(content) for content in files.contents]
+            self._key_replicas[key] = _KeyReplica(
+                state, files.last_file, len(sizes), sizes[0], sum(sizes[1:])
+            )
 
     @property
     def failure(self) -> str:
@@ -227,14 +237,28 @@
         responses: list[Send],
     ) -> Write:
         key_replica.last_file += 1
-        is_complete = update is None or update.base is None
-        if is_complete or key_replica.files_since_snapshot >= SNAPSHOT_EVERY_FILES:
+        content = _encode_next_delta(key_replica, state, update)
+        if content is None:
             content = encode_snapshot(state)
             key_replica.files_since_snapshot = 1
+            key_replica.snapshot_bytes = len(content)
+            key_replica.delta_bytes = 0
         else:
-            assert update is not None
-            content = encode_delta(state.promised, update)
             key_replica.files_since_snapshot += 1
+            key_replica.delta_bytes += len(content)
         token = f"{WRITE_TOKEN_PREFIX}{key}:{key_replica.last_file}"
         key_replica.in_flight = _DiskWrite(token, state, responses)
         return Write(token, key, key_replica.last_file, content)
+
+
+def _encode_next_delta(
+    key_replica: _KeyReplica, state: StoredKeyState, update: RecordUpdate | None
+) -> bytes | None:
+    """Return the next file of the newest chain, or None if a snapshot is to begin another one."""
+    if update is None or update.base is None:
+        return None
+    if key_replica.files_since_snapshot >= SNAPSHOT_EVERY_FILES:
+        return None
+    content = encode_delta(state.promised, update)
+    limit_bytes = max(MIN_DELTA_BYTES, key_replica.snapshot_bytes)
+    return content if key_replica.delta_bytes + len(content) <= limit_bytes else None
--- a/src/zincvale/storage/version_files.py
+++ b/src/zincvale/storage/version_files.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import errno
 import random
 from collections.abc import Callable
 from pathlib import Path
@@ -41,6 +42,7 @@
 vote."""
 CHAINS_RETAINED = 2
 """Number of chains retained for each key: the newest, and the previous one for inspection."""
+FULL_DISK_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 LogFunction = Callable[[int, dict[str, Any]], None]
 
@@ -118,16 +120,28 @@
             the replica then stops voting and retries.
         """
         try:
-            folder = self._key_folder(key)
-            if key not in self._chains:
-                self._disk.make_folder(folder)
-            write_durably(self._disk, folder, _file_name(number), self._with_checksum(content))
+            self._write_file(key, number, content)
         except OSError as error:
             return f"{key} file {number}: {error.strerror or error}"
         self._record_written(key, number, content)
-        self._prune(key)
+        self._prune(key, CHAINS_RETAINED)
         return ""
 
+    def _write_file(self, key: str, number: int, content: bytes) -> None:
+        """Write a file; on a full disk, first remove what is retained for inspection only."""
+        try:
+            self._try_write_file(key, number, content)
+        except OSError as error:
+            if error.errno not in FULL_DISK_ERRORS or not self._remove_spare_chains():
+                raise
+            self._try_write_file(key, number, content)
+
+    def _try_write_file(self, key: str, number: int, content: bytes) -> None:
+        folder = self._key_folder(key)
+        if key not in self._chains:
+            self._disk.make_folder(folder)
+        write_durably(self._disk, folder, _file_name(number), self._with_checksum(content))
+
     def _read_identity(self) -> str:
         if IDENTITY_FILE not in self._disk.list_files(self._folder):
             return ""
@@ -243,9 +257,17 @@
         else:
             chains[-1].append(number)
 
-    def _prune(self, key: str) -> None:
+    def _remove_spare_chains(self) -> bool:
+        """Remove all chains but the newest of each key; return whether there was any."""
+        keys_with_spare_chains = [key for key, chains in self._chains.items() if len(chains) > 1]
+        for key in keys_with_spare_chains:
+            self._prune(key, 1)
+        return bool(keys_with_spare_chains)
+
+    def _prune(self, key: str, retained: int) -> None:
+        """Remove the oldest chains of a key until `retained` chains are left."""
         chains = self._chains[key]
-        while len(chains) > CHAINS_RETAINED:
+        while len(chains) > retained:
             for number in chains.pop(0):
                 try_remove(self._disk, self._key_folder(key) / _file_name(number))
 
--- a/tests/controlplane/documents/test_documents.py
+++ b/tests/controlplane/documents/test_documents.py
@@ -105,6 +105,19 @@
         self.assertEqual("changed", read.routes[0]["as"])
         self.assertEqual((9, {"x": 1}), (read.number, read.other))
 
+    def test_a_complete_document_with_a_new_first_route_changes_no_row_of_another_route(self):
+        """LOST: every route after a new one was written, delivered and stored anew."""
+        document = Document().accept(complete_document(0, 5, route("a"), route("b")))
+        result = document.apply(complete_document(5, 6, route("new"), route("a"), route("b")))
+        changed = {each.row for each in result.unwrap()}
+        self.assertEqual({"route/new"}, {row for row in changed if row.startswith("route/")})
+        read = source_document(document.rows)
+        self.assertEqual(["new", "a", "b"], [each["name"] for each in read.routes])
+        document.accept(DocumentChange(6, 7, False, (route("last"),)))
+        document.accept(complete_document(7, 8, *map(route, ("a", "mid", "b", "last"))))
+        read = source_document(document.rows)
+        self.assertEqual(["a", "mid", "b", "last"], [each["name"] for each in read.routes])
+
     def test_only_one_of_two_changes_of_the_same_base_is_accepted(self):
         document = Document().accept(complete_document(0, 5, route("a")))
         document.accept(complete_document(5, 7, route("b")))
--- a/tests/storage/test_version_files.py
+++ b/tests/storage/test_version_files.py
@@ -24,6 +24,19 @@
         super().write_synced(path, content)
 
 
+class SmallDisk(RealDisk):
+    """A disk with little space, all of which its files take; removed files free theirs."""
+
+    capacity_bytes = 1_000
+
+    def write_synced(self, path: Path, content: bytes) -> None:
+        root = next(each for each in path.parents if each.name == "data")
+        used = sum(each.stat().st_size for each in root.rglob("*") if each.is_file())
+        if used + len(content) > self.capacity_bytes:
+            raise OSError(28, "No space left on device")
+        super().write_synced(path, content)
+
+
 class VersionFilesTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -105,6 +118,30 @@
         self.assertEqual("", files.write("k", 2, b"Stwo"))
         self.assertEqual([b"Stwo"], self.new_files().load().keys["k"].contents)
 
+    def test_a_full_disk_gives_up_what_is_retained_for_inspection_only(self) -> None:
+        """ACKS: a full disk took no write, and only a write removed older files."""
+        self.disk = SmallDisk()
+        files = self.new_files()
+        files.load()
+        number = 0
+        for key in ("a", "b"):
+            for _ in range(2):
+                number += 1
+                self.assertEqual("", files.write(key, number, b"S" + b"x" * 180))
+        self.assertEqual("", files.write("a", 10, b"S" + b"y" * 400))
+        state = self.new_files().load()
+        self.assertEqual([b"S" + b"y" * 400], state.keys["a"].contents)
+        self.assertEqual([b"S" + b"x" * 180], state.keys["b"].contents)
+
+    def test_a_disk_that_stays_full_keeps_the_newest_chains(self) -> None:
+        self.disk = SmallDisk()
+        files = self.new_files()
+        files.load()
+        self.assertEqual("", files.write("a", 1, b"S" + b"x" * 300))
+        self.assertEqual("", files.write("a", 2, b"S" + b"y" * 300))
+        self.assertIn("No space left", files.write("a", 3, b"S" + b"z" * 900))
+        self.assertEqual([b"S" + b"y" * 300], self.new_files().load().keys["a"].contents)
+
     def test_a_folder_of_another_cluster_is_rejected(self) -> None:
         self.new_files().load()
         error = self.assertRaises(WrongClusterError, self.new_files("other").load)
