--- a/tests/crowds/soak_run.py
+++ b/tests/crowds/soak_run.py
@@ -23,6 +23,7 @@
 from tests.crowds.usage import BYTES_PER_MB, UsageMonitor
 from tests.soak.callers import Callers
 from tests.soak.documents import BASE_ROUTES, HOST
+from tests.soak.event_loop import run_to_end
 from tests.soak.history import Answer, History
 from tests.soak.http_calls import CutError, NotSentError, call_once
 from tests.soak.layout import (
@@ -124,6 +125,9 @@
             for crowd in self._crowds:
                 crowd.cancel()
             await asyncio.gather(*self._crowds, *self._tasks, return_exceptions=True)
+            # Their exceptions refer to the connections that they had.
+            self._crowds.clear()
+            self._tasks.clear()
             self._fleet.end_all()
             self._servers.close()
             self._network.close()
@@ -281,7 +285,7 @@
     async def play() -> SoakResult:
         return await CrowdSoak(options, folder).play()
 
-    result = asyncio.run(play())
+    result = run_to_end(play())
     if not result.problems:
         shutil.rmtree(folder, ignore_errors=True)
     return result
--- a/tests/crowds/test_misbehaving_clients.py
+++ b/tests/crowds/test_misbehaving_clients.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import tempfile
 from collections.abc import Awaitable, Callable
@@ -14,6 +13,7 @@
 from tests.crowds.crowd_run import NODE_PORT, CrowdResult, CrowdRun
 from tests.crowds.crowds import MAX_BODY_BYTES, MAX_HEADER_BYTES
 from tests.soak.documents import BASE_ROUTES, HOST
+from tests.soak.event_loop import run_to_end
 from tests.soak.layout import CONTROL_PORT, FRONT_PORT, READY_PORT
 
 T = TypeVar("T")
@@ -35,7 +35,7 @@
             await crowd_run.close()
 
     with tempfile.TemporaryDirectory() as folder:
-        return asyncio.run(run(Path(folder)))
+        return run_to_end(run(Path(folder)))
 
 
 def play(crowd: str, role: str, port: int, *, is_configured: bool = True) -> CrowdResult:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -14,7 +14,14 @@
 from tests.soak.evacuation_checks import evacuation_problems, refused_orders
 from tests.soak.history import Answer, ChangeRecord, History, RequestRecord
 from tests.soak.in_touch import InTouch, Problem
-from tests.soak.settings_file import BACK_S, CONFIGURATION_S, CONTACT_S, GRACE_S, OUTER_S
+from tests.soak.settings_file import (
+    ACKNOWLEDGE_S,
+    BACK_S,
+    CONFIGURATION_S,
+    CONTACT_S,
+    GRACE_S,
+    OUTER_S,
+)
 
 RECOVERY_S = 12.0
 MIN_PROBES = 20
@@ -48,6 +55,7 @@
         verdict.problems.extend(checker.check_request(request, verdict.staleness))
     verdict.problems.extend(checker.regressions())
     verdict.problems.extend(checker.change_problems())
+    verdict.problems.extend(checker.late_acknowledgements())
     verdict.problems.extend(checker.read_problems())
     verdict.problems.extend(checker.request_problems())
     verdict.problems.extend(checker.own_ends())
@@ -175,6 +183,30 @@
             if change.acknowledged_at and change.refused_at:
                 yield from self._refused_after_acknowledgement(change)
 
+    def late_acknowledgements(self) -> Iterator[Problem]:
+        """Check that a change is acknowledged in time while the core is stable and no link is cut.
+
+        A change that has a rival, or was refused, is left out: it may have lost a race.
+        """
+        for change in self._valid:
+            sent_at = change.first_sent_at
+            due_at = sent_at + ACKNOWLEDGE_S
+            if change.rival or change.refused_at or due_at > self._history.ends_at():
+                continue
+            if not self.in_touch.is_core_stable(sent_at, due_at) or self._is_any_link_cut(sent_at):
+                continue
+            if not any(at <= due_at for at in change.acknowledged_at):
+                text = f"{change.name} ({change.number}) acknowledged at {change.acknowledged_at}"
+                yield Problem("late-acknowledgement", sent_at, text)
+
+    def _is_any_link_cut(self, sent_at: float) -> bool:
+        """Whether a machine was cut off while a change that was sent at this time was due."""
+        return any(
+            start <= sent_at + ACKNOWLEDGE_S and (not end or end[0] >= sent_at - CONTACT_S)
+            for machine in self._history.machines.values()
+            for start, *end in machine.cut_off
+        )
+
     def _refused_after_acknowledgement(self, change: ChangeRecord) -> Iterator[Problem]:
         for at, status in change.refused_at:
             later = [
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -38,6 +38,10 @@
     "replace-inside-cut": 4,
 }
 """Weights of the faults that cut machines off, which only some runs have."""
+NODE_LOSS_WEIGHTS = {"lose-nodes": 8, "freeze-most-nodes": 5}
+"""Weights of the faults that take most machines without a disk, which only some runs have."""
+REPLACEMENT_S = (0.5, 3.0)
+"""How long after the loss of machines without a disk new ones start."""
 LOSS_TO_CUT_S = (0.05, 0.9)
 """How long after the loss of a core machine its zone is cut off, or before it."""
 CATCH_UP_S = 4.05
@@ -158,6 +162,10 @@
                 await self._wipe_core(fault)
             case "busy":
                 await self._busy(fault.seconds)
+            case "lose-nodes":
+                await self._lose_nodes(self._most_nodes(fault))
+            case "freeze-most-nodes":
+                await self._freeze(self._most_nodes(fault), fault.seconds)
             case _:
                 await self._strike_with_cut(fault)
 
@@ -207,8 +215,25 @@
         count = max(1, round(fault.strength * share * len(names)))
         return self._random.sample(names, min(count, len(names)))
 
+    def _most_nodes(self, fault: Fault) -> list[str]:
+        """Return more than half of the machines without a disk, up to all of them."""
+        names = [spec.name for spec in self._fleet.specs.values() if not spec.has_disk]
+        count = round((0.5 + fault.strength / 2) * len(names))
+        return self._random.sample(names, count)
+
+    async def _lose_nodes(self, names: list[str]) -> None:
+        """Remove machines without a disk for good, and add new ones at other addresses."""
+        lost = [self._fleet.specs[name] for name in names]
+        for spec in lost:
+            self._fleet.remove(spec.name)
+        await asyncio.sleep(self._random.uniform(*REPLACEMENT_S))
+        for old in lost:
+            spec = self._new_machine(old)
+            self._fleet.add(spec)
+            self._on_added(spec)
+
     async def _freeze(self, names: list[str], seconds: float) -> None:
-        names = [name for name in names if name not in self._frozen]
+        names = [name for name in names if name not in self._frozen and name in self._fleet.specs]
         self._frozen.update(names)
         for name in names:
             self._fleet.freeze(name)
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -152,6 +152,10 @@
         """Return the history of a machine."""
         return self.machines.setdefault(name, MachineHistory())
 
+    def ends_at(self) -> float:
+        """Return when the last line of the run's log was recorded; minus infinity without one."""
+        return max((note["at"] for note in self.notes), default=float("-inf"))
+
     def note(self, now: float, kind: str, **fields: Any) -> None:
         """Record one line of the run's log."""
         self.notes.append({"at": round(now, 3), "kind": kind, **fields})
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -48,6 +48,7 @@
     parser.add_argument("--final-fault", default="")
     parser.add_argument("--keep", action="store_true")
     parser.add_argument("--cuts", action="store_true", help="cut machines off as well")
+    parser.add_argument("--node-losses", action="store_true", help="lose most nodes as well")
     parser.add_argument("--plan", default="", choices=["", *DIRECTED_PLANS])
     parser.add_argument("--jobs", type=int, default=1)
     parser.add_argument("--folder", default="target/soak")
@@ -65,6 +66,7 @@
             arguments.final_fault,
             keep=arguments.keep,
             cuts=arguments.cuts or bool(arguments.plan),
+            node_losses=arguments.node_losses,
             plan=arguments.plan,
         )
         for seed in seed_range(arguments.seeds)
--- a/tests/soak/settings_file.py
+++ b/tests/soak/settings_file.py
@@ -17,6 +17,7 @@
 
 CONTACT_S, CONFIGURATION_S, OUTER_S, BACK_S, GRACE_S = 3.0, 2.0, 5.0, 0.25, 8.0
 EVACUATION_S = 5.0
+ACKNOWLEDGE_S = 4.0
 """Bounds in seconds that the settings state and the checks use."""
 
 
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -17,10 +17,12 @@
 from tests.soak.cuts import CutTable
 from tests.soak.directed_plans import DIRECTED_PLANS, plan_length_s
 from tests.soak.evacuations import EvacuationOperator
+from tests.soak.event_loop import run_to_end
 from tests.soak.faults import (
     CATCH_UP_S,
     CUT_WEIGHTS,
     FAULT_WEIGHTS,
+    NODE_LOSS_WEIGHTS,
     Fault,
     FaultRunner,
     draw_plan,
@@ -66,6 +68,8 @@
     """Whether the logs stay, whatever the run shows."""
     cuts: bool = False
     """Whether machines are cut off from each other as well."""
+    node_losses: bool = False
+    """Whether most machines without a disk may be lost for good or frozen as well."""
     plan: str = ""
     """One of `DIRECTED_PLANS`, played in place of drawn faults."""
 
@@ -135,6 +139,8 @@
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
+            # Their exceptions refer to the connections that they had.
+            self._tasks.clear()
             self._evacuations.close()
             self._servers.close()
             self._network.close()
@@ -172,7 +178,8 @@
         await asyncio.gather(*changes)
 
     def _weights(self) -> dict[str, int]:
-        return FAULT_WEIGHTS | CUT_WEIGHTS if self.options.cuts else FAULT_WEIGHTS
+        weights = FAULT_WEIGHTS | CUT_WEIGHTS if self.options.cuts else FAULT_WEIGHTS
+        return weights | NODE_LOSS_WEIGHTS if self.options.node_losses else weights
 
     async def _play_end(self) -> None:
         """Strike the final fault right after an acknowledgement, and read back."""
@@ -228,7 +235,7 @@
 
     def _further_machine(self, old: MachineSpec) -> MachineSpec:
         number, self._machine_count = self._machine_count, self._machine_count + 1
-        return self._network.machine(number, old.zone, has_disk=True)
+        return self._network.machine(number, old.zone, has_disk=old.has_disk)
 
     def _begin_load(self, spec: MachineSpec) -> None:
         rate = max(0.01, self.options.load)
@@ -252,7 +259,7 @@
         await run.play()
         return run
 
-    run = asyncio.run(play())
+    run = run_to_end(play())
     history = run.history
     verdict = check(history)
     events, defects = count_events(folder)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -74,6 +74,25 @@
         self.history.requests = [request(18.1, Answer.RAN, "base-0", "service-a")]
         self.assertEqual(["not-in-force"], self.rules())
 
+    def test_a_change_that_is_not_acknowledged_in_time_is_noticed(self) -> None:
+        self.history.note(30.0, "end")
+        self.history.changes.append(change(Document(3, {}), 20.0))
+        self.assertEqual(["late-acknowledgement"], self.rules())
+        self.history.changes[-1].acknowledged_at.append(24.5)
+        self.assertEqual(["late-acknowledgement"], self.rules())
+        self.history.changes[-1].acknowledged_at[:] = [23.9]
+        self.assertEqual([], self.rules())
+
+    def test_an_acknowledgement_may_be_late_around_an_unstable_core_or_a_cut(self) -> None:
+        self.history.note(30.0, "end")
+        self.history.changes.append(change(Document(3, {}), 20.0, 25.0))
+        self.history.machine("machine-5").cut_off.append([10.0, 17.5])
+        self.assertEqual([], self.rules())
+        self.history.machine("machine-5").cut_off[:] = [[10.0, 16.5]]
+        self.assertEqual(["late-acknowledgement"], self.rules())
+        self.history.disturbed("machine-1", 23.0, is_core=True)
+        self.assertEqual([], self.rules())
+
     def test_a_machine_that_was_frozen_is_not_in_touch(self) -> None:
         self.history.disturbed("machine-5", 11.0, is_core=False)
         self.history.requests = [request(12.2, Answer.NOT_FOUND, "added-1")]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -44,7 +44,20 @@
     hangs_up_early=False,
     cuts=True,
 )
+NODE_LOSS_OPTIONS = RunOptions(
+    52,
+    seconds=25.0,
+    fault_gap_s=5.0,
+    change_gap_s=1.0,
+    load=0.4,
+    only=("lose-nodes", "freeze-most-nodes", "kill-all-cores"),
+    final_fault="kill-all",
+    hangs_up_early=False,
+    node_losses=True,
+)
 MIN_CHANGES, MIN_RUNS, MIN_EVACUATIONS = 10, 500, 5
+MIN_CHANGES_WITH_LOSSES = 5
+"""Each wave of losses holds a change up until the leases of the lost nodes have run out."""
 
 
 class SoakTest(testtools.TestCase):
@@ -70,3 +83,10 @@
         self.assertEqual([], result.problems)
         self.assertGreater(result.counts["changes"], MIN_CHANGES)
         self.assertGreater(result.counts["ran"], MIN_RUNS)
+
+    def test_changes_are_acknowledged_while_most_nodes_are_lost_or_frozen_in_series(self) -> None:
+        """ACKS: after most registered nodes were lost, nothing was acknowledged any more."""
+        with tempfile.TemporaryDirectory() as folder:
+            result = play_one(NODE_LOSS_OPTIONS, Path(folder) / "run")
+        self.assertEqual([], result.problems)
+        self.assertGreater(result.counts["changes"], MIN_CHANGES_WITH_LOSSES)
