--- a/src/zincvale/dataplane/forwarding/caller_server.py
+++ b/src/zincvale/dataplane/forwarding/caller_server.py
@@ -113,13 +113,19 @@
     def __init__(self, connection: Any, handler: RequestHandler) -> None:
         self._connection = connection
         self._handler = handler
-        self._unsent_bytes = 0
         self._is_open = True
 
     @property
     def unsent_bytes(self) -> int:
-        """Bytes that were written and not yet sent to the caller."""
-        return self._unsent_bytes
+        """Bytes that were written and not yet sent to the caller.
+
+        The futures of tornado's `HTTPConnection.write` do not tell: only the newest one ends.
+        """
+        stream = self._connection.stream
+        if stream is None or stream.closed():
+            return 0
+        unsent: int = stream.unsent_bytes
+        return unsent
 
     def open(self, status: int, reason: str, headers: HeaderList) -> None:
         """Send the status and headers of a server's response."""
@@ -133,12 +139,7 @@
 
     def write(self, data: bytes) -> None:
         """Send a part of the body."""
-        self._unsent_bytes += len(data)
-        future = self._run_unless_closed(lambda: self._connection.write(data))
-        if future is None:
-            self._unsent_bytes -= len(data)
-            return
-        future.add_done_callback(lambda done: self._on_written(len(data), done))
+        self._run_unless_closed(lambda: self._connection.write(data))
 
     def end(self) -> None:
         """End the complete response."""
@@ -157,22 +158,17 @@
         self.write(body)
         self.end()
 
-    def _on_written(self, size: int, future: Future[None]) -> None:
-        self._unsent_bytes -= size
-        future.exception()
-
-    def _run_unless_closed(self, action: Callable[[], Future[None] | None]) -> Future[None] | None:
-        """Run `action` unless the connection is closed; returns the future of `action`, if any."""
+    def _run_unless_closed(self, action: Callable[[], Future[None] | None]) -> None:
+        """Run `action` unless the connection is closed."""
         if not self._is_open:
-            return None
+            return
         try:
             future = action()
         except StreamClosedError:
             self._is_open = False
-            return None
+            return
         if future is not None:
             future.add_done_callback(lambda done: done.exception())
-        return future
 
 
 def _reason_phrase(status: int) -> str:
