--- a/src/zincvale/transport/server_connection.py
+++ b/src/zincvale/transport/server_connection.py
@@ -61,6 +61,7 @@
         self._awaits_response = False
         """Whether nothing was received since the request was sent."""
         self._is_closed = False
+        self._is_paused = False
         self.used = False
         self.idle_since = clock()
         self.keep_alive_s: float | None = None
@@ -92,11 +93,13 @@
     def pause(self) -> None:
         """Stop reading until `resume`, because the caller is slow."""
         if self._transport is not None and not self._is_closed:
+            self._is_paused = True
             self._transport.pause_reading()
 
     def resume(self) -> None:
         """Continue reading."""
-        if self._transport is not None and not self._is_closed:
+        if self._is_paused and self._transport is not None and not self._is_closed:
+            self._is_paused = False
             self._transport.resume_reading()
 
     def close(self) -> None:
@@ -216,6 +219,8 @@
         if not is_clean or self._is_closed:
             self.close()
             return
+        # The caller of this exchange may be slow, but the next response belongs to another one.
+        self.resume()
         self.idle_since = self._clock()
         self._on_idle(self)
 
--- a/tests/transport/test_server_connection.py
+++ b/tests/transport/test_server_connection.py
@@ -167,6 +167,25 @@
 
         self.run_async(scenario)
 
+    def test_a_connection_that_was_paused_is_read_again_when_its_exchange_has_ended(self):
+        """LOST: a paused connection returned to the pool, and its next request got no response."""
+
+        async def scenario():
+            pair = await ConnectionPair.open()
+            listener = pair.send()
+            await pair.read()
+            original = listener.on_content
+            listener.on_content = lambda data: (pair.connection.pause(), original(data))
+            await pair.respond(b"HTTP/1.1 200 OK\r\nrid: q1\r\nContent-Length: 4\r\n\r\nours")
+            await asyncio.wait_for(listener.ended, TIMEOUT_S)
+            self.assertEqual([pair.connection], pair.idle)
+            second = await run_exchange(
+                pair, b"HTTP/1.1 200 OK\r\nrid: q1\r\nContent-Length: 4\r\n\r\nmore"
+            )
+            self.assertEqual((200, b"more", "ended"), _events_of(second))
+
+        self.run_async(scenario)
+
     def test_a_response_without_a_length_ends_with_its_connection(self):
         async def scenario():
             pair = await ConnectionPair.open()
