--- a/src/zincvale/daemons/forwarding_node.py
+++ b/src/zincvale/daemons/forwarding_node.py
@@ -79,6 +79,8 @@
         self._has_been_ready = False
         self._drain_started_at = 0.0
         self._stop_requested_at = 0.0
+        self._callers: AdmittingServer
+        """The server of callers, once `run` listens."""
         self._drain_limit_s = max(MIN_DRAIN_S, forwarding.grace_s - GRACE_MARGIN_S)
         options = NodeOptions(
             topics=TOPICS,
@@ -98,7 +100,7 @@
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain; raises `StartupError`."""
         self.process.listen_peers()
-        servers = self._listen()
+        self._callers, readiness = self._listen()
         self._node.run(
             Drain(
                 self._start_draining,
@@ -107,11 +109,11 @@
                 self._service.refuse_new_requests,
             )
         )
-        for server in servers:
-            server.stop()
+        self._callers.stop()
+        readiness.stop()
         self._service.close()
 
-    def _listen(self) -> list[AdmittingServer]:
+    def _listen(self) -> tuple[AdmittingServer, AdmittingServer]:
         """Bind the addresses for callers and for readiness probes; `run` stops the servers."""
         limits = DocumentLimits(
             lambda: self._service.routing.document.limits, self._lease_watch.has_lease
@@ -130,7 +132,7 @@
             self.process.admission,
             limits,
         )
-        return [callers, readiness]
+        return callers, readiness
 
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds while the process runs."""
@@ -264,7 +266,8 @@
         if now - self._stop_requested_at >= self._drain_limit_s - FINAL_REFUSAL_S:
             self._service.refuse_pending()
         min_drain_passed = now - self._drain_started_at >= MIN_DRAIN_S
-        return min_drain_passed and not self._service.active_requests
+        is_idle = not self._service.active_requests and not self._callers.has_unsent_responses
+        return min_drain_passed and is_idle
 
 
 class _ReadyHandler(RequestHandler):
--- a/src/zincvale/daemons/node_daemon.py
+++ b/src/zincvale/daemons/node_daemon.py
@@ -186,6 +186,7 @@
         self._node.tracing.leave()
 
     def _is_drained(self) -> bool:
-        """Whether `MIN_DRAIN_S` has passed, no request is active and no trace is undecided."""
+        """Whether `MIN_DRAIN_S` has passed, and no request, response or trace is unfinished."""
         min_drain_passed = self._node.clock() - self._drain_started_at >= MIN_DRAIN_S
-        return min_drain_passed and not self._service.active_requests and self._node.tracing.is_idle
+        is_idle = not self._service.active_requests and not self._node.process.has_unsent_responses
+        return min_drain_passed and is_idle and self._node.tracing.is_idle
--- a/src/zincvale/daemons/process.py
+++ b/src/zincvale/daemons/process.py
@@ -80,22 +80,26 @@
     on_reload: Callable[[], None] = _do_nothing
     """Called on SIGHUP, since the settings file may have changed; most daemons read it once."""
     _http_servers: list[AdmittingServer] = attrs.field(factory=list)
+    _api_server: AdmittingServer | None = None
     _is_stopping: bool = False
 
     def listen(self, api: Application) -> None:
         """Bind the API address and the peer address; raises `StartupError`."""
-        settings = self.settings
-        self._http_servers.append(
-            listen(
-                api,
-                settings.api_address,
-                "api_address",
-                self.admission,
-                self._limits(MAX_API_BODY_BYTES),
-            )
+        self._api_server = listen(
+            api,
+            self.settings.api_address,
+            "api_address",
+            self.admission,
+            self._limits(MAX_API_BODY_BYTES),
         )
+        self._http_servers.append(self._api_server)
         self.listen_peers()
 
+    @property
+    def has_unsent_responses(self) -> bool:
+        """Whether a client at the API address has not read everything that was written to it."""
+        return self._api_server is not None and self._api_server.has_unsent_responses
+
     def listen_peers(self) -> None:
         """Bind only the peer address; raises `StartupError`."""
         self._http_servers.append(
--- a/src/zincvale/runtime/admission/server.py
+++ b/src/zincvale/runtime/admission/server.py
@@ -40,6 +40,8 @@
 
     admission: Admission
     stream: AdmittedStream
+    unsent_connections: set[Connection]
+    """Connections of the same server whose clients have not read everything; shared by them."""
     receiver: RequestReceiver | None = None
     headers: Reservation | None = None
     unsent: Reservation | None = None
@@ -63,6 +65,10 @@
     def on_unsent_changed(self, unsent_bytes: int) -> None:
         """Reserve memory for the part of a response that its client has not read."""
         now = self.admission.update_now()
+        if unsent_bytes:
+            self.unsent_connections.add(self)
+        else:
+            self.unsent_connections.discard(self)
         if self.unsent is None:
             self.unsent = Reservation(now, self.stream.close)
         growth = unsent_bytes - self.unsent.size_bytes
@@ -111,6 +117,7 @@
         self._release_headers()
         if self.unsent is not None:
             self.admission.budget.release(self.unsent)
+        self.unsent_connections.discard(self)
         self.admission.connections.remove(self)
         self.stream.observer = None
 
@@ -149,6 +156,7 @@
         self._limits = limits
         self._request_bytes = request_bytes
         self._listeners: list[socket.socket] = []
+        self._unsent_connections: set[Connection] = set()
         super().initialize(
             application,
             decompress_request=expands_bodies,
@@ -174,6 +182,11 @@
             listener.close()
         self._listeners.clear()
 
+    @property
+    def has_unsent_responses(self) -> bool:
+        """Whether a client has not read everything that was written to it."""
+        return bool(self._unsent_connections)
+
     def start_request(self, server_conn: object, request_conn: Any) -> HTTPMessageDelegate:
         """Return the receiver of the next request of a connection."""
         admitted = request_conn.stream.observer
@@ -230,6 +243,7 @@
             phase_since=admission.now,
             admission=admission,
             stream=stream,
+            unsent_connections=self._unsent_connections,
         )
         stream.observer = admitted
         admission.connections.add(admitted)
--- a/tests/daemons/test_node_assembly.py
+++ b/tests/daemons/test_node_assembly.py
@@ -12,7 +12,7 @@
 from zincvale.coordination.changes import ChangeNotifications
 from zincvale.coordination.config import Timings
 from zincvale.coordination.replication.replica_sets import INTENT_KEY, REGISTRY_KEY
-from zincvale.daemons.forwarding_node import ForwardingNode
+from zincvale.daemons.forwarding_node import MIN_DRAIN_S, ForwardingNode
 from zincvale.daemons.node_daemon import NodeDaemon
 from zincvale.daemons.process import Drain
 from zincvale.daemons.residency_row_codec import RESIDENCY_TOPIC
@@ -81,6 +81,19 @@
             daemon.on_tick(100.0)
         self.assertEqual(["tracing.tick", "tracing.tick", "report"], self.calls)
 
+    def test_a_forwarding_node_is_not_drained_while_a_caller_has_not_read_its_response(
+        self,
+    ) -> None:
+        """LOST: a stopped node ended while finished answers waited for callers that paused."""
+        daemon = self.forwarding_node()
+        daemon._service = SimpleNamespace(active_requests=0, refuse_pending=lambda: None)
+        daemon._callers = SimpleNamespace(has_unsent_responses=True)
+        daemon._drain_started_at = daemon._stop_requested_at = 100.0
+        daemon._node.clock = lambda: 100.0 + MIN_DRAIN_S
+        self.assertFalse(daemon._is_drained())
+        daemon._callers.has_unsent_responses = False
+        self.assertTrue(daemon._is_drained())
+
     def end_of_drain(self, is_done: bool) -> list[str]:
         """Begin a drain of 5 s, check its end at 4, 5 and 5.2 s, and return what was called."""
         node = self.native_node()._node
@@ -110,7 +123,7 @@
         daemon.process = daemon._node.process = CallRecorder("process", self.calls)
         daemon._node._ticker = CallRecorder("ticker", self.calls)
         server = CallRecorder("server", self.calls)
-        with mock.patch.object(daemon, "_listen", lambda: [server, server]):
+        with mock.patch.object(daemon, "_listen", lambda: (server, server)):
             daemon.run()
         expected = ["process.listen_peers", "ticker.start", "process.run", "ticker.stop"]
         expected += ["server.stop", "server.stop", "service.close"]
--- a/tests/runtime/admission/test_server.py
+++ b/tests/runtime/admission/test_server.py
@@ -106,7 +106,7 @@
         async def run() -> None:
             self.admission = Admission(ProcessLimits(memory_bytes, descriptors), lambda: self.now)
             limits = DocumentLimits(lambda: self.limits, lambda: self.has_lease)
-            server = AdmittingServer(
+            self.server = server = AdmittingServer(
                 self.handler, self.admission, limits, request_bytes=self.request_bytes
             )
             server.serve(bind_sockets(PORT, HOST))
@@ -252,6 +252,25 @@
 
         self.play(scenario, memory_bytes=10 * UNREAD_BYTES)
 
+    def test_a_server_knows_whether_a_client_has_not_read_its_response(self) -> None:
+        """LOST: a stopped process ended while finished responses waited for their clients."""
+        self.handler.answers_at_once = False
+
+        async def scenario() -> None:
+            await self.send(with_length(0))
+            await settle(lambda: bool(self.handler.connections), MANY)
+            self.assertFalse(self.server.has_unsent_responses)
+            connection = self.handler.connections[0]
+            connection.write_headers(ResponseStartLine("HTTP/1.1", 200, "OK"), HTTPHeaders())
+            connection.write(b"r" * UNREAD_BYTES)
+            connection.finish()
+            self.assertTrue(self.server.has_unsent_responses)
+            self.writers[0].close()
+            await settle(lambda: not self.server.has_unsent_responses, MANY)
+            self.assertFalse(self.server.has_unsent_responses)
+
+        self.play(scenario, memory_bytes=10 * UNREAD_BYTES)
+
     def test_headers_over_the_limit_are_refused(self) -> None:
         async def scenario() -> None:
             for size in (2_100, 50_000):
