Creation: a core with records forgets the cores that its cluster was created with

Change: the remembered cores count on a disk without records only; a core passes the first record on whether or not it was told to create the cluster.

--- a/src/zincvale/coordination/registers/cluster_creation.py
+++ b/src/zincvale/coordination/registers/cluster_creation.py
@@ -85,10 +85,10 @@
     def tick(self, now: float) -> list[Effect]:
         """Create the cluster once it is safe, or send the first record to cores that lack it."""
         context = self._context
-        if not context.config.bootstrap or not context.config.initial_cores:
-            return []
         if not self.is_empty():
             return self._send_first_record(now)
+        if not context.config.bootstrap or not context.config.initial_cores:
+            return []
         is_first = context.config.initial_cores[0].member == context.own_id
         if not is_first and not self._takes_over(now):
             return []
--- a/src/zincvale/daemons/core_assembly.py
+++ b/src/zincvale/daemons/core_assembly.py
@@ -19,6 +19,7 @@
 from zincvale.coordination.changes import Reducer
 from zincvale.coordination.config import CoreConfig, InitialCore, ReadinessRule, Timings
 from zincvale.coordination.core.machine import CoreMachine
+from zincvale.coordination.registers.recovered_state import RecoveredState
 from zincvale.coordination.replication.replica_sets import INTENT_KEY
 from zincvale.daemons.control_api_handler import ControlApiServer, OperatorApi
 from zincvale.daemons.core_view import LocalCoreView
@@ -112,7 +113,7 @@
         self._handler = handler
         files = open_files(settings, self.random)
         recovered = files.load()
-        initial_cores = _initial_cores(settings, recovered.disk, options)
+        initial_cores = _initial_cores(settings, recovered, options)
         self.machine = CoreMachine(
             core_config(settings, incarnation, options, initial_cores),
             recovered,
@@ -192,15 +193,16 @@
 
 
 def _initial_cores(
-    settings: DaemonSettings, disk_id: str, options: CoreOptions
+    settings: DaemonSettings, recovered: RecoveredState, options: CoreOptions
 ) -> tuple[InitialCore, ...]:
     """Return the cores with which this start may create the cluster.
 
     A start that is told so remembers them, for one that is not told and finds its disk as it was.
+    On a disk with records they are of no use, and may have been replaced long ago.
     """
-    file = CreationFile(Path(settings.data_folder), open_disk(settings), disk_id)
+    file = CreationFile(Path(settings.data_folder), open_disk(settings), recovered.disk)
     if not options.bootstrap:
-        return file.initial_cores()
+        return () if recovered.keys else file.initial_cores()
     initial_cores = tuple(
         InitialCore(
             MemberId(core.member_id),
--- a/tests/daemons/test_core_assembly.py
+++ b/tests/daemons/test_core_assembly.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import tempfile
 from pathlib import Path
 from unittest import mock
@@ -12,7 +13,9 @@
 from zincvale.controlplane.directory.row_codec import DIRECTORY_TOPIC, LISTED_TOPIC
 from zincvale.coordination.changes import ChangeNotifications
 from zincvale.coordination.config import Timings
+from zincvale.coordination.registers.recovered_state import RecoveredKey, RecoveredState
 from zincvale.coordination.replication.replica_sets import INTENT_KEY
+from zincvale.daemons.core_assembly import CoreOptions, _initial_cores
 from zincvale.daemons.core_daemon import CoreDaemon
 from zincvale.daemons.forwarding_core import ForwardingCore
 from zincvale.daemons.forwarding_dialects import ForwardingDialects
@@ -32,6 +35,33 @@
     )
 
 
+class InitialCoresTest(testtools.TestCase):
+    """ACKS: a core killed in the first second started again without being told to create."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.settings = make_settings(folder.name)
+        self.restarted = dataclasses.replace(self.settings, bootstrap_cores=[])
+
+    def members(self, settings: DaemonSettings, recovered: RecoveredState, bootstrap: bool):
+        cores = _initial_cores(settings, recovered, CoreOptions(bootstrap=bootstrap))
+        return [core.member for core in cores]
+
+    def test_a_restart_on_the_same_empty_disk_may_still_create_the_cluster(self) -> None:
+        disk = RecoveredState("d1")
+        self.assertEqual([], self.members(self.restarted, disk, False))
+        self.assertEqual(["core-1"], self.members(self.settings, disk, True))
+        self.assertEqual(["core-1"], self.members(self.restarted, disk, False))
+        self.assertEqual([], self.members(self.restarted, RecoveredState("d2"), False))
+
+    def test_a_restart_with_records_forgets_the_initial_cores(self) -> None:
+        self.members(self.settings, RecoveredState("d1"), True)
+        recovered = RecoveredState("d1", {"intent": RecoveredKey([b"S"], 1)})
+        self.assertEqual([], self.members(self.restarted, recovered, False))
+
+
 class CoreAssemblyTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
