--- a/src/zincvale/dataplane/forwarding/forwarded_request.py
+++ b/src/zincvale/dataplane/forwarding/forwarded_request.py
@@ -50,6 +50,9 @@
 
 EVENT_STREAM = "text/event-stream"
 IDENTITY = "identity"
+STREAM_SETTLE_S = 0.1
+"""How long the end of a stream without a length waits for signs that its server has ended. Its
+events were relayed before; the end of another response would be late."""
 MAX_UNSENT_BYTES = 262_144
 """When more bytes than this wait for a slow caller, reading from its server is paused; bounds the
 node's memory."""
@@ -174,8 +177,9 @@
             self.on_broken("the connection ended in the middle of an event")
         else:
             row = self._choice.server.row
+            settle_s = STREAM_SETTLE_S if self._splitter is not None else 0.0
             self._exchange = self._context.client.check_presence(
-                row.address, row.incarnation, self._on_presence_checked
+                row.address, row.incarnation, settle_s, self._on_presence_checked
             )
 
     def _on_presence_checked(self, is_present: bool) -> None:
--- a/src/zincvale/simulator/forwarding/servers.py
+++ b/src/zincvale/simulator/forwarding/servers.py
@@ -119,7 +119,7 @@
         return exchange
 
     def check_presence(
-        self, address: str, incarnation: str, on_result: Callable[[bool], None]
+        self, address: str, incarnation: str, settle_s: float, on_result: Callable[[bool], None]
     ) -> PresenceCheck:
         """Report whether the incarnation of a server runs; a restart takes longer than a check."""
         server = self.servers[address]
@@ -127,7 +127,8 @@
         is_gone = server.incarnation != incarnation
         is_gone = is_gone or server.behavior is Behavior.REFUSING_CONNECTIONS
         loop = asyncio.get_running_loop()
-        loop.call_later(PRESENCE_CHECK_S, functools.partial(check.finish, is_present=not is_gone))
+        finish = functools.partial(check.finish, is_present=not is_gone)
+        loop.call_later(PRESENCE_CHECK_S + settle_s, finish)
         return check
 
     def keep_only(self, targets: set[tuple[str, str]]) -> None:
--- a/src/zincvale/transport/server_client.py
+++ b/src/zincvale/transport/server_client.py
@@ -20,6 +20,9 @@
 CONNECT_TIMEOUT_S = 0.5
 """Time limit for establishing a connection, after which a retry at another server can start. A
 shorter one fails on slow links between zones."""
+PRESENCE_ATTEMPTS = 3
+"""Attempts to connect to a server that may have ended. While its port closes, the system may drop
+an attempt without an answer; the next one is refused."""
 MAX_IDLE_PER_SERVER = 8
 """Maximum number of idle connections to a server. More take up file descriptors on both sides;
 fewer require new connections in a burst of requests."""
@@ -163,33 +166,44 @@
         return exchange
 
     def check_presence(
-        self, address: str, incarnation: str, on_result: Callable[[bool], None]
+        self, address: str, incarnation: str, settle_s: float, on_result: Callable[[bool], None]
     ) -> PresenceCheck:
         """Find out whether a server has gone that has just closed a connection.
 
         When its process ends, the system closes its connections in the same way, and its port with
-        them. The result is False only if a connection is refused: a server that is overloaded or
-        cut off is still there. The connection is kept for the next request.
+        them. The result is False only if a new connection is refused or reset: a server that is
+        overloaded or cut off is still there. The connection is kept for the next request.
+
+        Parameters
+        ----------
+        settle_s : how long the new connection is watched. The port may close a moment after the
+            connections, above all on a busy machine; a connection made in between is reset then.
         """
         check = PresenceCheck(on_result)
         pool = self._pools.setdefault((address, incarnation), _ConnectionPool())
-        checking = asyncio.ensure_future(self._check_presence(address, pool, check))
+        checking = asyncio.ensure_future(self._check_presence(address, pool, settle_s, check))
         self._connecting.add(checking)
         checking.add_done_callback(self._connecting.discard)
         return check
 
     async def _check_presence(
-        self, address: str, pool: _ConnectionPool, check: PresenceCheck
+        self, address: str, pool: _ConnectionPool, settle_s: float, check: PresenceCheck
     ) -> None:
-        try:
-            connection = await self._connect(address, pool)
-        except (ConnectionRefusedError, ConnectionResetError):
-            check.finish(is_present=False)
-        except (TimeoutError, OSError):
-            check.finish(is_present=True)
-        else:
+        for _ in range(PRESENCE_ATTEMPTS):
+            try:
+                connection = await self._connect(address, pool)
+            except (ConnectionRefusedError, ConnectionResetError):
+                check.finish(is_present=False)
+                return
+            except TimeoutError:
+                continue
+            except OSError:
+                break
             self._return_to_pool(pool, connection)
-            check.finish(is_present=True)
+            await asyncio.sleep(settle_s)
+            check.finish(is_present=not connection.was_reset)
+            return
+        check.finish(is_present=True)
 
     def keep_only(self, targets: set[tuple[str, str]]) -> None:
         """Close the idle connections to all but `targets`, which are (address, incarnation)."""
--- a/src/zincvale/transport/server_connection.py
+++ b/src/zincvale/transport/server_connection.py
@@ -62,6 +62,8 @@
         """Whether nothing was received since the request was sent."""
         self._is_closed = False
         self._is_paused = False
+        self.was_reset = False
+        """Whether the server's side reset the connection, in place of closing it."""
         self.used = False
         self.idle_since = clock()
         self.keep_alive_s: float | None = None
@@ -144,6 +146,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle that the connection was closed or failed."""
+        self.was_reset = isinstance(exc, ConnectionResetError)
         reason = "the server closed the connection" if exc is None else repr(exc)
         self._end_of_stream(reason, is_clean=False)
 
--- a/tests/dataplane/forwarding/test_service.py
+++ b/tests/dataplane/forwarding/test_service.py
@@ -73,7 +73,7 @@
         self.sent = []
         self.is_present = True
 
-    def check_presence(self, address, incarnation, on_result):
+    def check_presence(self, address, incarnation, settle_s, on_result):
         check = PresenceCheck(on_result)
         check.finish(is_present=self.is_present)
         return check
--- a/tests/simulator/forwarding/test_forwarding_model.py
+++ b/tests/simulator/forwarding/test_forwarding_model.py
@@ -51,7 +51,7 @@
 
 
 def _believe_the_end_of_a_server():
-    def check_presence(self, _address, _incarnation, on_result):
+    def check_presence(self, _address, _incarnation, _settle_s, on_result):
         check = PresenceCheck(on_result)
         asyncio.get_running_loop().call_soon(functools.partial(check.finish, is_present=True))
         return check
--- a/tests/transport/test_presence_check.py
+++ b/tests/transport/test_presence_check.py
@@ -7,7 +7,7 @@
 
 import testtools
 
-from zincvale.transport.server_client import ServerClient
+from zincvale.transport.server_client import PRESENCE_ATTEMPTS, ServerClient
 
 ADDRESS = "10.0.0.1:80"
 
@@ -15,6 +15,7 @@
 class OpenConnection:
     is_open = True
     idle_since = 0.0
+    was_reset = False
 
     def close(self):
         self.is_open = False
@@ -27,9 +28,10 @@
 
         async def scenario():
             self.client = ServerClient(lambda: 0.0)
-            connect = mock.AsyncMock(side_effect=[outcome])
+            outcomes = outcome if isinstance(outcome, list) else [outcome]
+            connect = mock.AsyncMock(side_effect=outcomes)
             with mock.patch.object(self.client, "_connect", connect):
-                check = self.client.check_presence(ADDRESS, "i1", results.append)
+                check = self.client.check_presence(ADDRESS, "i1", 0.0, results.append)
                 if cancel:
                     check.cancel()
                 await asyncio.gather(*self.client._connecting)
@@ -42,9 +44,20 @@
         self.assertEqual([False], self.check(ConnectionResetError()))
 
     def test_a_server_that_is_overloaded_or_cut_off_is_still_there(self):
-        self.assertEqual([True], self.check(TimeoutError()))
+        self.assertEqual([True], self.check([TimeoutError()] * PRESENCE_ATTEMPTS))
         self.assertEqual([True], self.check(OSError(113, "No route to host")))
 
+    def test_a_server_that_resets_the_connection_while_it_is_watched_has_gone(self):
+        """ORDER: on a busy machine the port of a killed server closed after its connections."""
+
+        class ResetConnection(OpenConnection):
+            was_reset = True
+
+        self.assertEqual([False], self.check(ResetConnection()))
+
+    def test_an_attempt_that_the_closing_port_dropped_is_made_again(self):
+        self.assertEqual([False], self.check([TimeoutError(), ConnectionRefusedError()]))
+
     def test_the_connection_is_kept_for_the_next_request(self):
         connection = OpenConnection()
         self.assertEqual([True], self.check(connection))
