Creation: a start on a disk with records writes no creation file

Cause: found by reading the whole change again. A core that is told to create at each start wrote the file also beside records, which never use it; on a full disk its first start after an upgrade would have ended there. Change: the file is written on a disk without records only. Conclusion: no work at a start that needs none.

--- a/src/zincvale/daemons/core_assembly.py
+++ b/src/zincvale/daemons/core_assembly.py
@@ -212,7 +212,7 @@
         )
         for core in settings.bootstrap_cores
     )
-    if not options.recover:
+    if not options.recover and not recovered.keys:
         file.remember(initial_cores)
     return initial_cores
 
